--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -13,56 +13,16 @@
 #include <vector>
 
 #include "arrowhatch/balancer.h"
+#include "settings/json.h"
+#include "settings/settings.h"
 
 namespace arrowhatch::adapter {
 namespace {
 
 using simdjson::dom::array;
 using simdjson::dom::element;
-using simdjson::dom::element_type;
 using simdjson::dom::object;
-
-[[noreturn]] void Fail(std::string_view where, std::string_view what) {
-  throw WireError(std::string(where) + ": " + std::string(what));
-}
-
-bool Absent(const element& e) { return e.type() == element_type::NULL_VALUE; }
-
-std::uint64_t AsUnsigned(const element& e, std::string_view where) {
-  std::uint64_t value = 0;
-  if (e.get_uint64().get(value) != simdjson::SUCCESS) Fail(where, "expected a whole number of 0 or more");
-  return value;
-}
-std::int64_t AsSigned(const element& e, std::string_view where) {
-  std::int64_t value = 0;
-  if (e.get_int64().get(value) != simdjson::SUCCESS) Fail(where, "expected a whole number");
-  return value;
-}
-double AsNumber(const element& e, std::string_view where) {
-  double value = 0;
-  if (e.get_double().get(value) != simdjson::SUCCESS) Fail(where, "expected a number");
-  return value;
-}
-bool AsBool(const element& e, std::string_view where) {
-  bool value = false;
-  if (e.get_bool().get(value) != simdjson::SUCCESS) Fail(where, "expected true or false");
-  return value;
-}
-std::string_view AsText(const element& e, std::string_view where) {
-  std::string_view value;
-  if (e.get_string().get(value) != simdjson::SUCCESS) Fail(where, "expected text");
-  return value;
-}
-array AsArray(const element& e, std::string_view where) {
-  array value;
-  if (e.get_array().get(value) != simdjson::SUCCESS) Fail(where, "expected an array");
-  return value;
-}
-object AsObject(const element& e, std::string_view where) {
-  object value;
-  if (e.get_object().get(value) != simdjson::SUCCESS) Fail(where, "expected an object");
-  return value;
-}
+using namespace settings;  // NOLINT(google-build-using-namespace): the JSON helpers that both hosts share.
 
 // The values of a message or a list row, read in order. A missing tail counts as null.
 class Row {
@@ -101,111 +61,12 @@
   std::size_t next_ = 0;
 };
 
-// A value of the settings by its path; null where a part of the path is missing.
-std::optional<element> Get(const object& o, std::string_view key) {
-  element e;
-  if (o.at_key(key).get(e) != simdjson::SUCCESS || Absent(e)) return std::nullopt;
-  return e;
-}
-std::optional<object> GetObject(const object& o, std::string_view key) {
-  const auto e = Get(o, key);
-  if (!e) return std::nullopt;
-  return AsObject(*e, "facts." + std::string(key));
-}
-double NumberOr(const std::optional<object>& o, std::string_view key, double value) {
-  const auto e = o ? Get(*o, key) : std::nullopt;
-  return e ? AsNumber(*e, key) : value;
-}
-Micros TimeOr(const std::optional<object>& o, std::string_view key, Micros value) {
-  return Micros(static_cast<std::int64_t>(NumberOr(o, key, static_cast<double>(value.count()))));
-}
-bool BoolOr(const std::optional<object>& o, std::string_view key, bool value) {
-  const auto e = o ? Get(*o, key) : std::nullopt;
-  return e ? AsBool(*e, key) : value;
-}
-std::string_view TextOr(const std::optional<object>& o, std::string_view key, std::string_view value) {
-  const auto e = o ? Get(*o, key) : std::nullopt;
-  return e ? AsText(*e, key) : value;
-}
-
-enum class ReportField { kLoadRatio, kUtilisation, kOutstanding, kOther };
-
 struct Instance {
   explicit Instance(const Settings& settings) : balancer(settings) {}
   Balancer balancer;
   std::vector<ReportField> report_fields;
 };
 
-ClassSettings ReadClass(const element& e) {
-  const std::optional<object> o = AsObject(e, "facts.classes");
-  ClassSettings c;
-  c.aim = TimeOr(o, "target", Micros(0));
-  c.repeat_window = TimeOr(o, "repeatWindow", Micros(0));
-  const std::string_view effect = TextOr(o, "effect", "at_most_once");
-  c.effect = effect == "idempotent"     ? Effect::kSafe
-             : effect == "deduplicated" ? Effect::kKeyed
-                                        : Effect::kUnsafe;
-  const std::string_view group = TextOr(o, "group", "cell");  // The narrowest where none is told.
-  c.group = group == "all" ? RepeatGroup::kAll : group == "zone" ? RepeatGroup::kZone : RepeatGroup::kCell;
-  return c;
-}
-
-Settings ReadSettings(const element& e, std::uint64_t seed) {
-  const std::optional<object> facts = AsObject(e, "facts");
-  const auto limits = GetObject(*facts, "limits");
-  const auto rules = GetObject(*facts, "invariants");
-  const auto prices = GetObject(*facts, "charges");
-  const auto family = GetObject(*facts, "familyInfo");
-  const auto stats = GetObject(*facts, "stats");
-  Settings s;
-  s.seed = seed;
-  s.gateways = static_cast<std::uint32_t>(std::max(1.0, NumberOr(facts, "balancers", 1)));
-  s.zone = ZoneId(static_cast<std::uint32_t>(NumberOr(facts, "zone", 0)));
-  s.list_mode =
-      TextOr(facts, "discovery", "automatic") == "subscribe" ? ListMode::kSubscribed : ListMode::kPushed;
-  const std::string_view how = TextOr(stats, "how", "off");
-  s.reports = how == "inline"     ? ReportMode::kWithAnswers
-              : how == "on_probe" ? ReportMode::kOnProbe
-                                  : ReportMode::kOff;
-  s.probes_allowed = BoolOr(limits, "probes", false);
-  s.cancel_allowed = BoolOr(limits, "cancel", false);
-  s.max_attempts = static_cast<std::uint32_t>(std::max(1.0, NumberOr(limits, "sendCap", 1)));
-  s.zone_price = NumberOr(prices, "crossZone", 0);
-  s.cold_share = NumberOr(rules, "coldFrom", 1.0);
-  s.cold_time = TimeOr(rules, "cold", Micros(0));
-  s.cold_multiple = NumberOr(rules, "fallMultiple", 1.0);
-  s.cold_window = TimeOr(rules, "fall", Micros(0));
-  if (const auto classes = Get(*facts, "classes")) {
-    for (const element c : AsArray(*classes, "facts.classes")) s.classes.push_back(ReadClass(c));
-  }
-  if (const auto aims = family ? Get(*family, "messageAim") : std::nullopt) {
-    std::size_t k = 0;
-    for (const element aim : AsArray(*aims, "facts.familyInfo.messageAim")) {
-      if (k < s.classes.size() && !Absent(aim)) {
-        s.classes[k].message_aim =
-            Micros(static_cast<std::int64_t>(AsNumber(aim, "facts.familyInfo.messageAim")));
-      }
-      ++k;
-    }
-  }
-  return s;
-}
-
-std::vector<ReportField> ReadReportFields(const element& e) {
-  std::vector<ReportField> fields;
-  const auto stats = GetObject(AsObject(e, "facts"), "stats");
-  const auto names = stats ? Get(*stats, "fields") : std::nullopt;
-  if (!names) return fields;
-  for (const element name : AsArray(*names, "facts.stats.fields")) {
-    const std::string_view n = AsText(name, "facts.stats.fields");
-    fields.push_back(n == "x0"            ? ReportField::kLoadRatio
-                     : n == "utilization" ? ReportField::kUtilisation
-                     : n == "outstanding" ? ReportField::kOutstanding
-                                          : ReportField::kOther);
-  }
-  return fields;
-}
-
 std::optional<LoadReport> ReadReport(const element* e, const std::vector<ReportField>& fields,
                                      const std::string& where) {
   if (e == nullptr) return std::nullopt;
@@ -215,10 +76,7 @@
     const ReportField field = k < fields.size() ? fields[k] : ReportField::kOther;
     ++k;
     if (Absent(value)) continue;
-    const double number = AsNumber(value, where);
-    if (field == ReportField::kLoadRatio) report.load_ratio = number;
-    if (field == ReportField::kUtilisation) report.utilisation = number;
-    if (field == ReportField::kOutstanding) report.outstanding = number;
+    SetField(report, field, AsNumber(value, where));
   }
   return report;
 }
@@ -292,7 +150,7 @@
   Writer(std::string& out, std::uint64_t instance) : out_(out), instance_(instance) {}
   void operator()(const SendAttempt& a) { Put("Send", {Raw(a.id), Raw(a.server), Time(a.timeout)}); }
   void operator()(const CancelAttempt& a) { Put("CallOff", {Raw(a.id), a.attempt}); }
-  void operator()(const RefuseRequest& a) { Put("NotNow", {Raw(a.id), 0}); }
+  void operator()(const RefuseRequest& a) { Put("NotNow", {Raw(a.id), Time(a.come_back)}); }
   void operator()(const FailRequest& a) { Put("Surrender", {Raw(a.id)}); }
   void operator()(const MoveClient& a) { Put("Migrate", {Raw(a.id)}); }
   void operator()(const ProbeServer& a) { Put("AskLoad", {Raw(a.server)}); }
@@ -360,8 +218,9 @@
     if (name == "Attach") {
       const std::uint64_t seed = row.Unsigned("prng");
       const element& facts = row.Required("facts");
-      auto instance = std::make_unique<Instance>(ReadSettings(facts, seed));
-      instance->report_fields = ReadReportFields(facts);
+      const SiteSettings site = ReadSettings(facts, seed);
+      auto instance = std::make_unique<Instance>(site.module);
+      instance->report_fields = site.report_fields;
       instances_[id] = std::move(instance);
       return;
     }
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -3,17 +3,15 @@
 #define ARROWHATCH_ADAPTER_WIRE_H_
 
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
+#include "settings/json.h"
+
 namespace arrowhatch::adapter {
 
 // A line that is not what the wire describes. what() names the field.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using WireError = settings::FormError;
 
 // Hosts any number of instances. Each has a Balancer of its own; they share nothing but the parser.
 class Adapter {
--- a/include/arrowhatch/balancer.h
+++ b/include/arrowhatch/balancer.h
@@ -148,6 +148,7 @@
 };
 struct RefuseRequest {  // Final answer: trying again is harmless.
   RequestId id{};
+  Micros come_back{0};  // When trying again may help; 0: no advice.
 };
 struct FailRequest {  // Final answer that promises nothing.
   RequestId id{};
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -665,7 +665,7 @@
     const bool refuse = MayRefuse(r);
     if (r.attempt_out && set_.cancel_allowed) Emit(CancelAttempt{r.info.id, r.attempts - 1});
     if (refuse) {
-      Emit(RefuseRequest{r.info.id});
+      Emit(RefuseRequest{r.info.id, Micros(0)});
     } else {
       Emit(FailRequest{r.info.id});
     }
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,121 @@
+#include "net/config.h"
+
+#include <charconv>
+#include <cstdint>
+#include <cstdlib>
+#include <optional>
+#include <utility>
+
+#include "settings/json.h"
+
+namespace stoatrun {
+namespace {
+
+using simdjson::dom::element;
+using simdjson::dom::object;
+using namespace arrowhatch::settings;  // NOLINT(google-build-using-namespace): the shared JSON helpers.
+
+std::optional<std::string> Env(const char* name) {
+  const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe): there is one thread.
+  if (value == nullptr || *value == '\0') return std::nullopt;
+  return value;
+}
+
+Address AddressOf(std::string_view what, std::string_view text) {
+  const auto address = Address::Parse(text);
+  if (!address) throw ConfigError(std::string(what) + ": expected IP:PORT, got '" + std::string(text) + "'");
+  return *address;
+}
+
+std::uint64_t ReadSeed(const object& o) {
+  const auto e = Get(o, "seed");
+  if (!e) throw ConfigError("seed: missing");
+  if (e->is_string()) {
+    const std::string_view text = AsText(*e, "seed");
+    std::uint64_t seed = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+    if (error != std::errc() || end != text.data() + text.size()) Fail("seed", "expected hex digits");
+    return seed;
+  }
+  return AsUnsigned(*e, "seed");
+}
+
+Config Parse(std::string_view json, const std::optional<std::string>& name,
+             const std::optional<std::string>& listen, const std::optional<std::string>& discovery) {
+  simdjson::dom::parser parser;
+  element root;
+  const auto error = parser.parse(simdjson::padded_string(json)).get(root);
+  if (error != simdjson::SUCCESS) {
+    throw ConfigError("not JSON: " + std::string(simdjson::error_message(error)));
+  }
+  try {
+    const object o = AsObject(root, "configuration");
+    const auto text = [&](std::string_view key, const std::optional<std::string>& given) {
+      if (given) return *given;
+      const auto e = Get(o, key);
+      if (!e) throw ConfigError(std::string(key) + ": missing");
+      return std::string(AsText(*e, key));
+    };
+    Config c;
+    c.name = text("name", name);
+    c.listen = AddressOf("listen", text("listen", listen));
+    c.discovery_text = text("discovery", discovery);
+    c.discovery = AddressOf("discovery", c.discovery_text);
+    const auto settings = Get(o, "settings");
+    if (!settings) throw ConfigError("settings: missing");
+    c.site = ReadSettings(*settings, ReadSeed(o));
+    if (c.site.class_names.empty()) throw ConfigError("settings.classes: missing or empty");
+    if (const auto known = Get(o, "known")) c.known = ReadHostList(*known);
+    return c;
+  } catch (const FormError& e) {
+    throw ConfigError(e.what());
+  }
+}
+
+}  // namespace
+
+HostList ReadHostList(const element& e) {
+  const object o = AsObject(e, "list");
+  HostList list;
+  if (const auto revision = Get(o, "revision")) list.revision = AsUnsigned(*revision, "revision");
+  list.complete = BoolOr(o, "complete", false);
+  const auto members = Get(o, "members");
+  if (!members) return list;
+  for (const element m : AsArray(*members, "members")) {
+    const object entry = AsObject(m, "members");
+    HostEntry h;
+    h.id = std::string(TextOr(entry, "id", ""));
+    h.address = std::string(TextOr(entry, "host_port", ""));
+    h.locality = std::string(TextOr(entry, "locality", ""));
+    const std::string_view phase = TextOr(entry, "phase", "ready");
+    // A phase of a later protocol is no promise that new work is welcome.
+    h.phase = phase == "ready"  ? HostPhase::kReady
+              : phase == "gone" ? HostPhase::kGone
+                                : HostPhase::kDraining;
+    h.cell = static_cast<std::uint64_t>(NumberOr(entry, "cell", 0));
+    h.size = NumberOr(entry, "size", 1.0);
+    h.up_since_ms = static_cast<std::int64_t>(NumberOr(entry, "up_since_ms", 0));
+    if (!h.id.empty()) list.entries.push_back(std::move(h));
+  }
+  return list;
+}
+
+Config ParseConfig(std::string_view json) { return Parse(json, {}, {}, {}); }
+
+Config LoadConfig() {
+  const auto path = Env("PROXY_CONFIG");
+  if (!path) throw ConfigError("PROXY_CONFIG: not set; it names the configuration file");
+  simdjson::padded_string text;
+  if (const auto error = simdjson::padded_string::load(*path).get(text); error != simdjson::SUCCESS) {
+    throw ConfigError(*path + ": " + simdjson::error_message(error));
+  }
+  Config c = Parse(std::string_view(text), Env("PROXY_NAME"), Env("PROXY_LISTEN"), Env("PROXY_DISCOVERY"));
+  if (const auto level = Env("STOATRUN_LOG")) {
+    const auto named = LevelNamed(*level);
+    if (!named) throw ConfigError("STOATRUN_LOG: expected debug, info, warn or error, got '" + *level + "'");
+    c.log_level = *named;
+  }
+  return c;
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,43 @@
+// What a relay is told at its start: the environment and the configuration file.
+#ifndef STOATRUN_NET_CONFIG_H_
+#define STOATRUN_NET_CONFIG_H_
+
+#include <simdjson.h>
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "net/hosts.h"
+#include "net/log.h"
+#include "net/stream.h"
+#include "settings/settings.h"
+
+namespace stoatrun {
+
+// What is wrong with it, in words for the operator.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  Address listen, discovery;
+  std::string discovery_text;
+  Level log_level = Level::kInfo;
+  HostList known;
+  arrowhatch::settings::SiteSettings site;
+};
+
+// Throws arrowhatch::settings::FormError. Entries without an id or an address are skipped.
+HostList ReadHostList(const simdjson::dom::element& e);
+
+// Throws ConfigError. The environment's values go before the file's.
+Config LoadConfig();
+// The same from a text, without the environment.
+Config ParseConfig(std::string_view json);
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_CONFIG_H_
--- /dev/null
+++ b/src/net/deadlines.h
@@ -0,0 +1,91 @@
+// All deadlines of the relay in one ordered structure, and the loop that drives them with one libev timer.
+#ifndef STOATRUN_NET_DEADLINES_H_
+#define STOATRUN_NET_DEADLINES_H_
+
+#include <ev.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "net/clock.h"
+
+namespace stoatrun {
+
+class Deadline;
+
+class Deadlines {
+ public:
+  // Runs what is due. What a callback sets anew waits for the next call, even if it is due at once.
+  void RunDue(Micros now);
+  // Of the earliest; valid only if not empty.
+  Micros Next() const { return order_.begin()->first.first; }
+  bool Empty() const { return order_.empty(); }
+
+ private:
+  friend class Deadline;
+  using Key = std::pair<Micros, std::uint64_t>;
+  std::map<Key, Deadline*> order_;
+  std::uint64_t next_ = 0;
+};
+
+// One deadline, owned by what it guards; taken back when its owner goes.
+class Deadline {
+ public:
+  Deadline(Deadlines& all, std::function<void()> due) : all_(all), due_(std::move(due)) {}
+  ~Deadline() { Cancel(); }
+  Deadline(const Deadline&) = delete;
+  Deadline& operator=(const Deadline&) = delete;
+
+  void Set(Micros at);
+  void Cancel();
+  bool IsSet() const { return set_; }
+
+ private:
+  friend class Deadlines;
+  Deadlines& all_;
+  std::function<void()> due_;
+  Deadlines::Key key_{};
+  bool set_ = false;
+};
+
+// One libev loop with the clock and the deadlines. A turn: read the clock, serve the sockets and what is due,
+// then run the sweepers.
+class Loop {
+ public:
+  explicit Loop(Clock::Mode mode = Clock::Mode::kMonotonic);
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  struct ev_loop* Raw() {
+    return loop_;
+  }
+  Micros Now() const { return clock.Now(); }
+  void AddSweeper(std::function<void()> sweeper) { sweepers_.push_back(std::move(sweeper)); }
+  void Run() { ev_run(loop_, 0); }
+  void Stop() { ev_break(loop_, EVBREAK_ALL); }
+  // One turn that does not block (tests).
+  void Poll();
+
+  Clock clock;
+  Deadlines deadlines;
+
+ private:
+  static void OnCheck(struct ev_loop* loop, ev_check* w, int events);
+  static void OnPrepare(struct ev_loop* loop, ev_prepare* w, int events);
+  static void OnTimer(struct ev_loop* loop, ev_timer* w, int events);
+
+  struct ev_loop* loop_;
+  ev_check check_{};
+  ev_prepare prepare_{};
+  ev_timer timer_{};
+  std::vector<std::function<void()>> sweepers_;
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_DEADLINES_H_
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,151 @@
+#include "net/discovery.h"
+
+#include <simdjson.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/config.h"
+#include "net/line.h"
+#include "net/log.h"
+#include "settings/json.h"
+
+namespace stoatrun {
+namespace {
+
+constexpr Micros kFirstRetry = std::chrono::milliseconds(50);
+constexpr Micros kLastRetry = std::chrono::milliseconds(800);
+// Calls wait in turn and may take seconds; the module asks anew after 6 s.
+constexpr Micros kAnswerWait = std::chrono::milliseconds(3500);
+// An empty line is due every 2 s: a watch without any byte for longer is dead, though its connection stays.
+constexpr Micros kSilence = std::chrono::milliseconds(3000);
+constexpr std::size_t kMaxBodyLine = 1 << 20;
+
+}  // namespace
+
+Discovery::Discovery(Loop& loop, DiscoveryEvents& events, Counters& counters, const Address& address,
+                     std::string host, std::uint64_t known_revision)
+    : loop_(loop),
+      events_(events),
+      counters_(counters),
+      address_(address),
+      host_(std::move(host)),
+      revision_(known_revision),
+      retry_(loop.deadlines, [this] { Connect(); }),
+      silence_(loop.deadlines, [this] { Fail("silent"); }),
+      backoff_(kFirstRetry) {
+  http_parser_settings_init(&parser_settings_);
+  parser_settings_.on_headers_complete = OnStatus;
+  parser_settings_.on_body = OnBody;
+  parser_settings_.on_message_complete = OnComplete;
+  loop_.AddSweeper([this] { calls_.Sweep(); });
+}
+
+void Discovery::Watch() {
+  owes_answer_ = true;
+  if (calls_.Find(call_) == nullptr && !retry_.IsSet()) Connect();
+}
+
+void Discovery::Connect() {
+  Call& call = calls_.Add(*this);
+  call_ = call.id;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  line_.clear();
+  refused_ = ended_ = false;
+  silence_.Set(loop_.Now() + (call.stream.Connect(address_) ? kAnswerWait : Micros(1)));
+}
+
+void Discovery::OnConnected(SlotId id) {
+  Call* call = calls_.Find(id);
+  if (call == nullptr) return;
+  call->stream.Write({"GET /v1/endpoints?watch=1&after=", std::to_string(revision_),
+                      " HTTP/1.1\r\nHost: ", host_, "\r\nAccept: application/json\r\n\r\n"});
+}
+
+void Discovery::OnBytes(SlotId id) {
+  Call* call = calls_.Find(id);
+  if (call == nullptr || id != call_) return;
+  const std::string_view in = call->stream.In();
+  const std::size_t used = http_parser_execute(&parser_, &parser_settings_, in.data(), in.size());
+  if (calls_.Find(id) == nullptr) return;
+  call->stream.Consume(in.size());
+  if (refused_ || ended_ || used != in.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+    Fail(refused_ ? "refused" : ended_ ? "ended" : "malformed");
+  }
+}
+
+void Discovery::OnEnd(SlotId id, StreamEnd end) {
+  if (id == call_ && calls_.Find(id) != nullptr) Fail(end == StreamEnd::kReset ? "reset" : "ended");
+}
+
+void Discovery::Fail(std::string_view why) {
+  LogLine(Level::kInfo) << "watch failed: " << why << ", again in " << backoff_.count() / 1000 << " ms";
+  ++counters_.watches_failed;
+  if (Call* call = calls_.Find(call_)) call->stream.Close();
+  calls_.Erase(call_);
+  call_ = {};
+  silence_.Cancel();
+  retry_.Set(loop_.Now() + backoff_);
+  backoff_ = std::min(backoff_ * 2, kLastRetry);
+  if (std::exchange(owes_answer_, false)) events_.OnWatchFailed();
+}
+
+int Discovery::OnStatus(http_parser* p) {
+  auto* self = static_cast<Discovery*>(p->data);
+  self->refused_ = p->status_code != 200;
+  return 0;
+}
+
+int Discovery::OnBody(http_parser* p, const char* at, std::size_t size) {
+  auto* self = static_cast<Discovery*>(p->data);
+  if (!self->refused_) self->TakeBody({at, size});
+  return 0;
+}
+
+int Discovery::OnComplete(http_parser* p) {
+  static_cast<Discovery*>(p->data)->ended_ = true;
+  return 0;
+}
+
+void Discovery::TakeBody(std::string_view body) {
+  silence_.Set(loop_.Now() + kSilence);
+  line_ += body;
+  std::size_t begin = 0;
+  for (;;) {
+    const std::size_t end = line_.find('\n', begin);
+    if (end == std::string::npos) break;
+    const std::string_view line = Stripped(std::string_view(line_).substr(begin, end + 1 - begin));
+    begin = end + 1;
+    if (!line.empty() && !TakeLine(line)) {
+      refused_ = true;  // What follows a broken line can't be trusted: the watch is made anew.
+      break;
+    }
+  }
+  line_.erase(0, begin);
+  if (line_.size() > kMaxBodyLine) refused_ = true;
+}
+
+bool Discovery::TakeLine(std::string_view line) {
+  HostList list;
+  try {
+    simdjson::dom::parser parser;
+    simdjson::dom::element root;
+    if (parser.parse(simdjson::padded_string(line)).get(root) != simdjson::SUCCESS) {
+      LogLine(Level::kWarn) << "discovery sent what is not JSON";
+      return false;
+    }
+    list = ReadHostList(root);
+  } catch (const arrowhatch::settings::FormError& e) {
+    LogLine(Level::kWarn) << "discovery sent a malformed list: " << e.what();
+    return false;
+  }
+  revision_ = list.revision;
+  backoff_ = kFirstRetry;
+  owes_answer_ = false;
+  ++counters_.lists;
+  events_.OnHosts(list);
+  return true;
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,71 @@
+// Discovery: holds a watch on the list of issuer hosts and renews it when it ends, fails or falls silent.
+#ifndef STOATRUN_NET_DISCOVERY_H_
+#define STOATRUN_NET_DISCOVERY_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/hosts.h"
+#include "net/slots.h"
+#include "net/stream.h"
+
+namespace stoatrun {
+
+class DiscoveryEvents {
+ public:
+  virtual ~DiscoveryEvents() = default;
+  virtual void OnHosts(const HostList& list) = 0;
+  virtual void OnWatchFailed() = 0;
+};
+
+class Discovery : public StreamHandler {
+ public:
+  Discovery(Loop& loop, DiscoveryEvents& events, Counters& counters, const Address& address, std::string host,
+            std::uint64_t known_revision);
+
+  // Keeps a watch from now on. Answered by one OnHosts or one OnWatchFailed.
+  void Watch();
+
+  void OnConnected(SlotId id) override;
+  void OnBytes(SlotId id) override;
+  void OnEnd(SlotId id, StreamEnd end) override;
+
+ private:
+  struct Call {
+    Call(SlotId slot, Discovery& all) : id(slot), stream(all.loop_.Raw(), all, slot) {}
+    SlotId id;
+    Stream stream;
+  };
+
+  void Connect();
+  void Fail(std::string_view why);
+  void TakeBody(std::string_view body);
+  bool TakeLine(std::string_view line);
+  static int OnStatus(http_parser* p);
+  static int OnBody(http_parser* p, const char* at, std::size_t size);
+  static int OnComplete(http_parser* p);
+
+  Loop& loop_;
+  DiscoveryEvents& events_;
+  Counters& counters_;
+  Address address_;
+  std::string host_;
+  std::uint64_t revision_;
+  Slots<Call> calls_;
+  SlotId call_;
+  Deadline retry_, silence_;
+  Micros backoff_;
+  bool owes_answer_ = false, refused_ = false, ended_ = false;
+  std::string line_;  // Of the body, not yet whole.
+  http_parser parser_{};
+  http_parser_settings parser_settings_{};
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_DISCOVERY_H_
--- /dev/null
+++ b/src/net/relay.cpp
@@ -0,0 +1,481 @@
+#include "net/relay.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "net/log.h"
+
+namespace stoatrun {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// `d` counts from the client's sending; the line took a while to come, and the answer takes one to get there.
+constexpr Micros kOnTheWay = milliseconds(4);
+// Clients send every 2 s and are answered at once. A connection whose host says nothing must be given up
+// within 7 s of the last answer.
+constexpr Micros kSilence = milliseconds(4300);
+// After one side has ended, the other has a second to end likewise.
+constexpr Micros kLeaveWait = milliseconds(800);
+// Connections that were open before the start: the run waits 40 s for them.
+constexpr Micros kResumeFor = seconds(35);
+constexpr Micros kResumeRetry = milliseconds(250);
+constexpr Micros kResumeWait = seconds(10);
+constexpr Micros kDelayPeriod = seconds(1);  // A host's slow messages are told no more often than this.
+// A planned end: clients still come for 0.2 to 0.4 s, then the standing ones are moved, spread over a while.
+constexpr Micros kTakeFor = milliseconds(500);
+constexpr Micros kMoveFor = milliseconds(1500);
+constexpr Micros kMoveStep = milliseconds(50);
+constexpr Micros kAfterDeadline = milliseconds(600);  // SIGKILL may come 0.7 s after the longest deadline.
+constexpr Micros kLeastDeadline = seconds(3);
+
+constexpr std::string_view kErrorLine = "ERR\r\n", kMoveLine = "MOVE\r\n";
+
+Micros ShortestAim(const arrowhatch::Settings& s) {
+  Micros shortest{0};
+  for (const auto& c : s.classes) {
+    if (c.message_aim.count() > 0 && (shortest.count() == 0 || c.message_aim < shortest))
+      shortest = c.message_aim;
+  }
+  return shortest;
+}
+
+Issuer::Times TimesOf(const arrowhatch::settings::SiteSettings& site) {
+  Issuer::Times times;
+  if (site.connect_timeout.count() > 0) times.connect = site.connect_timeout;
+  if (site.idle_close.count() > 0) times.idle_close = site.idle_close;
+  if (site.stop_sending_within.count() > 0) times.stop_sending = site.stop_sending_within;
+  return times;
+}
+
+}  // namespace
+
+Relay::Relay(Loop& loop, const Config& config)
+    : loop_(loop),
+      site_(config.site),
+      listen_(config.listen),
+      known_(config.known),
+      zones_(config.site.zone_names),
+      slow_message_(ShortestAim(config.site.module) / 3),
+      balancer_(config.site.module),
+      acquirer_(loop, *this, counters_),
+      issuer_(loop, *this, counters_, TimesOf(config.site)),
+      discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision),
+      drain_(loop.deadlines, [this] { DrainStep(); }) {
+  loop_.AddSweeper([this] {
+    authorisations_.Sweep();
+    timers_.Sweep();
+  });
+}
+
+void Relay::Start() {
+  acquirer_.Listen(listen_);
+  TakeList(known_, ListSource::kKnown);
+}
+
+// ---- between the module and the sockets ----
+
+// Events that arise while actions are carried out wait their turn: all are handled in the order in which they
+// happened, and no action overtakes another.
+void Relay::Tell(arrowhatch::Event event) {
+  events_.push_back(std::move(event));
+  if (telling_) return;
+  telling_ = true;
+  while (!events_.empty()) {
+    const arrowhatch::Event next = std::move(events_.front());
+    events_.pop_front();
+    actions_.clear();
+    balancer_.handle(loop_.Now(), next, actions_);
+    for (const arrowhatch::Action& action : actions_) CarryOut(action, *this);
+  }
+  telling_ = false;
+}
+
+void Relay::OpenLeg(SlotId authorisation, HostNumber host, Micros wait) {
+  Authorisation* a = authorisations_.Find(authorisation);
+  if (a == nullptr || a->state != Authorisation::State::kPending || a->leg) {
+    Tell(LegEnded(authorisation, host, LegEnd::kNotConnected, true, {}));
+    return;
+  }
+  a->host = host;
+  ++a->legs;
+  const LegWork work{a->before_wait, a->after_wait, true, std::min(wait, a->opening.deadline - loop_.Now())};
+  a->leg = issuer_.Open(authorisation, host, work);
+  LogLine(Level::kDebug) << "leg " << a->legs << " of " << authorisation.Packed() << " to "
+                         << issuer_.IdOf(host);
+}
+
+void Relay::AbandonLeg(SlotId authorisation, std::uint32_t leg_number) {
+  Authorisation* a = authorisations_.Find(authorisation);
+  if (a == nullptr || a->state != Authorisation::State::kPending || !a->leg || leg_number + 1 != a->legs)
+    return;
+  issuer_.Close(std::exchange(a->leg, {}));
+  Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, false, {}));
+}
+
+void Relay::Answer(SlotId authorisation, std::string_view line) {
+  Authorisation* a = authorisations_.Find(authorisation);
+  if (a == nullptr || a->state != Authorisation::State::kPending) return;
+  if (a->leg) {
+    issuer_.Close(std::exchange(a->leg, {}));
+    Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, true, {}));
+  }
+  acquirer_.End(a->client, line);
+  a->deadline.Cancel();
+  authorisations_.Erase(authorisation);
+}
+
+void Relay::Decline(SlotId authorisation, Micros come_back) {
+  ++counters_.declined;
+  std::string line = "BUSY";
+  if (come_back.count() > 0) line += ' ' + std::to_string((come_back.count() + 999) / 1000);
+  LogLine(Level::kDebug) << "decline " << authorisation.Packed() << ' ' << line;
+  Answer(authorisation, line + "\r\n");
+}
+
+void Relay::Fail(SlotId authorisation) {
+  ++counters_.failed;
+  Answer(authorisation, kErrorLine);
+}
+
+void Relay::Move(SlotId authorisation) {
+  Authorisation* a = authorisations_.Find(authorisation);
+  if (a == nullptr || a->state != Authorisation::State::kStanding) return;
+  ++counters_.moved;
+  EndStanding(*a, LegEnd::kAbandoned, kMoveLine);
+}
+
+void Relay::Probe(HostNumber host) { issuer_.Probe(host); }
+void Relay::WakeIn(Micros delay) { timers_.Add(*this).deadline.Set(loop_.Now() + delay); }
+void Relay::Watch() { discovery_.Watch(); }
+
+void Relay::OnProbe(HostNumber host, bool ok, std::string_view report) {
+  LogLine(Level::kDebug) << "probe of " << issuer_.IdOf(host) << (ok ? " ok " : " failed ") << report;
+  Tell(Probed(host, ok, report));
+}
+
+// ---- the list ----
+
+void Relay::TakeList(const HostList& list, ListSource source) {
+  issuer_.TakeList(list);
+  LogLine(Level::kInfo) << "list revision=" << list.revision << (list.complete ? " complete" : " changes")
+                        << " entries=" << list.entries.size();
+  Tell(ListOf(
+      list, source, [this](const std::string& id) { return issuer_.NumberOf(id); }, loop_.clock, zones_));
+}
+
+void Relay::OnHosts(const HostList& list) { TakeList(list, ListSource::kWatch); }
+void Relay::OnWatchFailed() { Tell(ListFailed()); }
+
+// ---- authorisations until they stand ----
+
+std::size_t Relay::ClassIndex(std::string_view name) const {
+  const auto& names = site_.class_names;
+  return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+bool Relay::TakesClass(std::string_view name) { return ClassIndex(name) < site_.class_names.size(); }
+
+SlotId Relay::OnOpen(SlotId client, const OpenHead& head) {
+  Authorisation& a = authorisations_.Add(*this);
+  const SlotId id = a.id;
+  a.client = client;
+  a.before_wait = head.before_wait;
+  a.after_wait = head.after_wait;
+  a.opening.class_index = ClassIndex(head.class_name);
+  a.opening.deadline = loop_.Now() + std::max(Micros(0), Micros(milliseconds(head.wait_ms)) - kOnTheWay);
+  a.opening.load = head.load;
+  a.opening.again = head.again;
+  if (!head.at.empty()) {
+    ++counters_.resumed;
+    a.resume_at = head.at;
+    a.resume_until = loop_.Now() + kResumeFor;
+    TryResume(a);
+    return id;
+  }
+  ++counters_.authorisations;
+  Tell(Arrived(id, a.opening));
+  return id;
+}
+
+// A connection from before the start belongs to its host: there is nothing to decide, and the host may not be
+// in the list yet.
+void Relay::TryResume(Authorisation& a) {
+  const auto host = issuer_.Known(a.resume_at);
+  if (!host) {
+    a.deadline.Set(loop_.Now() + kResumeRetry);
+    return;
+  }
+  a.host = *host;
+  const LegWork work{a.before_wait, a.after_wait, !a.after_wait.empty() || a.opening.deadline > loop_.Now(),
+                     kResumeWait};
+  a.leg = issuer_.Open(a.id, *host, work);
+}
+
+void Relay::OnLegUp(SlotId owner, std::string_view line) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  ++counters_.up;
+  a->state = Authorisation::State::kStanding;
+  a->deadline.Cancel();
+  acquirer_.Up(a->client, line);
+  if (a->resume_at.empty()) {
+    Tell(LegIsUp(owner, a->host));
+  } else {
+    Tell(Resumed(owner, a->opening, a->host));
+  }
+  a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  if (phase_ == Phase::kMoving) return Move(owner);
+  PumpToHost(*a);
+  PumpToClient(owner, false);
+}
+
+void Relay::OnLegEnd(SlotId owner, LegEnd end, std::string_view line) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  a->leg = {};
+  LogLine(Level::kDebug) << "leg " << a->legs << " of " << owner.Packed() << " to " << issuer_.IdOf(a->host)
+                         << " ended " << static_cast<int>(end);
+  if (!a->resume_at.empty()) {
+    if (end != LegEnd::kError && loop_.Now() < a->resume_until) {
+      a->deadline.Set(loop_.Now() + kResumeRetry);
+    } else {
+      Answer(owner, kErrorLine);
+    }
+    return;
+  }
+  const bool finished = end == LegEnd::kServed;  // The host's own word goes to the client as it is.
+  const HostNumber host = a->host;
+  if (finished) Answer(owner, line);
+  Tell(LegEnded(owner, host, end, finished, SplitWord(Stripped(line)).second));
+}
+
+void Relay::OnClientEnd(SlotId owner, StreamEnd end) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  const SlotId client = a->client;
+  if (a->state == Authorisation::State::kPending) {
+    ++counters_.client_left;
+    const bool resumed = !a->resume_at.empty();
+    const SlotId leg = std::exchange(a->leg, {});
+    const HostNumber host = a->host;
+    issuer_.Close(leg);
+    // A half-closed client may still listen for its one answer.
+    if (end == StreamEnd::kFinished) {
+      acquirer_.End(client, kErrorLine);
+    } else {
+      acquirer_.Reset(client);
+    }
+    authorisations_.Erase(owner);
+    if (resumed) return;
+    Tell(Left(owner));
+    if (leg) Tell(LegEnded(owner, host, LegEnd::kAbandoned, true, {}));
+    return;
+  }
+  if (a->state == Authorisation::State::kLeaving) return;
+  ++counters_.client_left;
+  PumpToHost(*a);
+  if (end == StreamEnd::kReset) {
+    issuer_.Reset(a->leg);
+    acquirer_.Reset(client);
+    Tell(Left(owner));
+    EndStanding(*a, LegEnd::kAbandoned, {});
+    return;
+  }
+  if (Stream* leg = issuer_.Find(a->leg)) leg->Finish();
+  a->state = Authorisation::State::kLeaving;
+  a->deadline.Set(loop_.Now() + kLeaveWait);
+  Tell(Left(owner));
+}
+
+// ---- standing connections ----
+
+void Relay::EndStanding(Authorisation& a, LegEnd end, std::string_view last_line) {
+  const SlotId owner = a.id;
+  acquirer_.End(a.client, last_line);
+  issuer_.Close(a.leg);
+  a.deadline.Cancel();
+  authorisations_.Erase(owner);
+  Tell(LegEnded(owner, a.host, end, true, {}));
+}
+
+void Relay::OnClientBytes(SlotId owner) {
+  Authorisation* a = authorisations_.Find(owner);
+  // What comes before UP waits in the client's bounded buffer.
+  if (a != nullptr && a->state != Authorisation::State::kPending) PumpToHost(*a);
+}
+
+void Relay::OnLegRoom(SlotId owner) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  if (Stream* client = acquirer_.Find(a->client)) client->SetReading(true);
+  PumpToHost(*a);
+}
+
+void Relay::PumpToHost(Authorisation& a) {
+  Stream* client = acquirer_.Find(a.client);
+  Stream* leg = issuer_.Find(a.leg);
+  if (client == nullptr || leg == nullptr || client->In().empty()) return;
+  if (leg->Queued() > Stream::kHighWater) {
+    client->SetReading(false);
+    return;
+  }
+  const std::string_view in = client->In();
+  leg->Write({in});
+  if (a.asked_at.count() == 0 && in.find('\n') != std::string_view::npos) {
+    a.asked_at = loop_.Now();
+    if (a.state == Authorisation::State::kStanding) a.deadline.Set(loop_.Now() + kSilence);
+  }
+  client->Consume(in.size());
+}
+
+void Relay::OnLegBytes(SlotId owner) { PumpToClient(owner, false); }
+
+void Relay::OnClientRoom(SlotId owner) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  if (Stream* leg = issuer_.Find(a->leg)) leg->SetReading(true);
+  PumpToClient(owner, false);
+}
+
+// Only whole lines go on, so that MOVE always falls between two; the part of a line at the very end goes with
+// `all`, and one longer than any line may be goes as it is.
+void Relay::PumpToClient(SlotId owner, bool all) {
+  Authorisation* a = authorisations_.Find(owner);
+  Stream* client = a == nullptr ? nullptr : acquirer_.Find(a->client);
+  Stream* leg = a == nullptr ? nullptr : issuer_.Find(a->leg);
+  if (client == nullptr || leg == nullptr || leg->In().empty()) return;
+  if (client->Queued() > Stream::kHighWater && !all) {
+    leg->SetReading(false);
+    return;
+  }
+  const std::string_view in = leg->In();
+  const std::size_t last = in.rfind('\n');
+  std::size_t whole = last == std::string_view::npos ? 0 : last + 1;
+  if (all || (whole == 0 && in.size() >= kMaxLine)) whole = in.size();
+  if (whole == 0) return;
+  client->Write({in.substr(0, whole)});
+  std::vector<std::string> heard;  // Told when the buffers are done with: the module may move this client.
+  for (std::string_view left = in.substr(0, whole); !left.empty();) {
+    const std::size_t size = LineLength(left).value_or(left.size());
+    heard.emplace_back(Stripped(left.substr(0, size)));
+    left.remove_prefix(size);
+  }
+  leg->Consume(whole);
+  if (a->deadline.IsSet() && a->state == Authorisation::State::kStanding) {
+    a->deadline.Set(loop_.Now() + kSilence);
+  }
+  for (const std::string& line : heard) {
+    a = authorisations_.Find(owner);
+    if (a == nullptr) return;
+    NoteLine(*a, line);
+  }
+}
+
+void Relay::NoteLine(Authorisation& a, std::string_view line) {
+  const auto [word, rest] = SplitWord(line);
+  if (word == "LOAD") {
+    if (const auto load = Decimal(rest)) Tell(LoadIs(a.id, *load));
+    return;
+  }
+  a.last_word = word == "BYE"    ? LegEnd::kServed
+                : word == "MOVE" ? LegEnd::kSentAway
+                : word == "ERR"  ? LegEnd::kError
+                                 : LegEnd::kBroken;
+  if (a.asked_at.count() == 0 || a.last_word != LegEnd::kBroken) return;
+  const Micros delay = loop_.Now() - std::exchange(a.asked_at, Micros(0));
+  if (a.state == Authorisation::State::kStanding) a.deadline.Cancel();
+  NoteDelay(a.host, delay);
+}
+
+// Told as the simulator tells it: once a second while messages are slow, and once more when they are not.
+void Relay::NoteDelay(HostNumber host, Micros delay) {
+  if (slow_message_.count() == 0) return;
+  if (paces_.size() <= host) paces_.resize(host + 1);
+  Pace& p = paces_[host];
+  const bool slow = delay > slow_message_;
+  if (slow ? loop_.Now() < p.told_at + kDelayPeriod : !p.slow) return;
+  p.slow = slow;
+  p.told_at = loop_.Now();
+  LogLine(Level::kDebug) << "messages of " << issuer_.IdOf(host) << " take " << delay.count() << " us";
+  Tell(MessageTook(host, delay));
+}
+
+void Relay::OnLegFinished(SlotId owner, StreamEnd end) {
+  PumpToClient(owner, true);
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  LegEnd how = a->last_word;
+  if (how == LegEnd::kServed) ++counters_.served;
+  if (how == LegEnd::kSentAway) ++counters_.host_moved;
+  if (how == LegEnd::kBroken && a->state == Authorisation::State::kLeaving) how = LegEnd::kAbandoned;
+  if (how == LegEnd::kBroken) {
+    ++counters_.legs_cut;
+    LogLine(Level::kDebug) << "cut by " << issuer_.IdOf(a->host);
+    if (end == StreamEnd::kReset) acquirer_.Reset(a->client);
+  }
+  EndStanding(*a, how, {});
+}
+
+void Relay::Due(SlotId owner) {
+  Authorisation* a = authorisations_.Find(owner);
+  if (a == nullptr) return;
+  switch (a->state) {
+    case Authorisation::State::kPending:
+      if (loop_.Now() < a->resume_until) {
+        TryResume(*a);
+      } else {
+        Answer(owner, kErrorLine);
+      }
+      return;
+    case Authorisation::State::kLeaving:
+      EndStanding(*a, LegEnd::kAbandoned, {});
+      return;
+    case Authorisation::State::kStanding:
+      // A machine that vanished says nothing, and its connections stay open for ever.
+      ++counters_.silent;
+      LogLine(Level::kInfo) << "silent host " << issuer_.IdOf(a->host) << ": its client is moved";
+      EndStanding(*a, LegEnd::kBroken, kMoveLine);
+      return;
+  }
+}
+
+// ---- the planned end ----
+
+void Relay::Drain() {
+  if (phase_ != Phase::kServing) return;
+  phase_ = Phase::kTaking;
+  drain_at_ = loop_.Now();
+  LogLine(Level::kInfo) << "draining authorisations=" << authorisations_.Size();
+  drain_.Set(drain_at_ + kTakeFor);
+}
+
+void Relay::DrainStep() {
+  if (phase_ == Phase::kTaking) {
+    acquirer_.StopListening();
+    phase_ = Phase::kMoving;
+  }
+  std::vector<SlotId> standing;
+  authorisations_.ForEach([&](const Authorisation& a) {
+    if (a.state == Authorisation::State::kStanding) standing.push_back(a.id);
+  });
+  // An even share of what is left a step, all by the end.
+  const Micros left = drain_at_ + kTakeFor + kMoveFor - loop_.Now();
+  const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
+  standing.resize((standing.size() + steps - 1) / steps);
+  for (const SlotId id : standing) Move(id);
+  const Micros longest = std::max(site_.longest_deadline, kLeastDeadline);
+  const bool done = authorisations_.Size() == 0 && acquirer_.Size() == 0;
+  if (done || loop_.Now() >= drain_at_ + longest + kAfterDeadline) {
+    LogLine(Level::kInfo) << "drained, left=" << authorisations_.Size();
+    loop_.Stop();
+    return;
+  }
+  drain_.Set(loop_.Now() + kMoveStep);
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/relay.h
@@ -0,0 +1,130 @@
+// The relay: owns the Balancer, turns what happens on sockets into its events and carries its actions out, in
+// order. It never picks a host, retries or sheds by itself.
+#ifndef STOATRUN_NET_RELAY_H_
+#define STOATRUN_NET_RELAY_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "arrowhatch/balancer.h"
+#include "net/acquirer.h"
+#include "net/config.h"
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/discovery.h"
+#include "net/issuer.h"
+#include "net/slots.h"
+#include "net/terms.h"
+
+namespace stoatrun {
+
+class Relay : private AcquirerEvents, private IssuerEvents, private DiscoveryEvents, private Orders {
+ public:
+  Relay(Loop& loop, const Config& config);
+
+  void Start();  // Throws std::system_error if the address can't be had.
+  // A planned end: still takes and answers for a while, then moves all standing clients and stops the loop.
+  void Drain();
+  int Port() const { return acquirer_.Port(); }
+  const Counters& Counts() const { return counters_; }
+
+ private:
+  struct Authorisation {
+    Authorisation(SlotId slot, Relay& all)
+        : id(slot), deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
+    enum class State { kPending, kStanding, kLeaving };  // Leaving: its client has ended its sending.
+    SlotId id, client, leg;
+    Deadline deadline;
+    State state = State::kPending;
+    HostNumber host = 0;
+    Opening opening;
+    std::string_view before_wait, after_wait;  // Of the client's line, there until the leg is up.
+    std::string resume_at;                     // The host that holds the connection already.
+    Micros resume_until{0};
+    std::uint32_t legs = 0;
+    Micros asked_at{0};  // When the oldest client line without an answer went on; 0: none.
+    LegEnd last_word = LegEnd::kBroken;
+  };
+  struct Pace {  // What a host's messages took.
+    Micros told_at{0};
+    bool slow = false;
+  };
+  struct Timer {
+    Timer(SlotId slot, Relay& all)
+        : deadline(all.loop_.deadlines, [&all, slot] {
+            all.timers_.Erase(slot);
+            all.Tell(arrowhatch::TimerFired{});
+          }) {}
+    Deadline deadline;
+  };
+
+  // AcquirerEvents
+  bool TakesClass(std::string_view name) override;
+  SlotId OnOpen(SlotId client, const OpenHead& head) override;
+  void OnClientBytes(SlotId owner) override;
+  void OnClientEnd(SlotId owner, StreamEnd end) override;
+  void OnClientRoom(SlotId owner) override;
+  // IssuerEvents
+  void OnLegUp(SlotId owner, std::string_view line) override;
+  void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) override;
+  void OnLegBytes(SlotId owner) override;
+  void OnLegFinished(SlotId owner, StreamEnd end) override;
+  void OnLegRoom(SlotId owner) override;
+  void OnProbe(HostNumber host, bool ok, std::string_view report) override;
+  // DiscoveryEvents
+  void OnHosts(const HostList& list) override;
+  void OnWatchFailed() override;
+  // Orders
+  void OpenLeg(SlotId authorisation, HostNumber host, Micros wait) override;
+  void AbandonLeg(SlotId authorisation, std::uint32_t leg_number) override;
+  void Decline(SlotId authorisation, Micros come_back) override;
+  void Fail(SlotId authorisation) override;
+  void Move(SlotId authorisation) override;
+  void Probe(HostNumber host) override;
+  void WakeIn(Micros delay) override;
+  void Watch() override;
+
+  void Tell(arrowhatch::Event event);
+  void TakeList(const HostList& list, ListSource source);
+  void TryResume(Authorisation& a);
+  void Answer(SlotId authorisation, std::string_view line);
+  // Ends a standing connection: both sides are closed and the module is told how.
+  void EndStanding(Authorisation& a, LegEnd end, std::string_view last_line);
+  void PumpToHost(Authorisation& a);
+  void PumpToClient(SlotId owner, bool all);
+  void NoteLine(Authorisation& a, std::string_view line);
+  void NoteDelay(HostNumber host, Micros delay);
+  void Due(SlotId owner);
+  void DrainStep();
+  std::size_t ClassIndex(std::string_view name) const;
+
+  Loop& loop_;
+  const arrowhatch::settings::SiteSettings site_;
+  const Address listen_;
+  const HostList known_;
+  std::vector<std::string> zones_;
+  Micros slow_message_{0};  // A message over this is told; 0: never.
+  Counters counters_;
+  arrowhatch::Balancer balancer_;
+  Acquirer acquirer_;
+  Issuer issuer_;
+  Discovery discovery_;
+  Slots<Authorisation> authorisations_;
+  Slots<Timer> timers_;
+  std::vector<Pace> paces_;
+  std::deque<arrowhatch::Event> events_;
+  std::vector<arrowhatch::Action> actions_;
+  bool telling_ = false;
+  enum class Phase { kServing, kTaking, kMoving };
+  Phase phase_ = Phase::kServing;
+  Micros drain_at_{0};
+  Deadline drain_;
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_RELAY_H_
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,207 @@
+#include "net/stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <cstring>
+
+#include "net/line.h"
+
+namespace stoatrun {
+
+std::optional<Address> Address::Parse(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const auto port = Whole(text.substr(colon + 1));
+  if (!port || *port > 65535) return std::nullopt;
+  Address address;
+  address.raw.sin_family = AF_INET;
+  address.raw.sin_port = htons(static_cast<std::uint16_t>(*port));
+  const std::string host(text.substr(0, colon));
+  if (inet_pton(AF_INET, host.c_str(), &address.raw.sin_addr) != 1) return std::nullopt;
+  return address;
+}
+
+Stream::Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id)
+    : loop_(loop), handler_(handler), id_(id), in_(std::make_unique<char[]>(kInSize)) {
+  ev_init(&io_, OnIo);
+  io_.data = this;
+}
+
+Stream::~Stream() { Close(); }
+
+void Stream::Adopt(int fd) {
+  fd_ = fd;
+  const int on = 1;
+  setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  Watch();
+}
+
+bool Stream::Connect(const Address& address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0 &&
+      errno != EINPROGRESS) {
+    close(fd);
+    return false;
+  }
+  connecting_ = true;
+  Adopt(fd);
+  return true;
+}
+
+void Stream::Consume(std::size_t n) {
+  n = std::min(n, size_);
+  std::memmove(in_.get(), in_.get() + n, size_ - n);
+  size_ -= n;
+  Watch();
+}
+
+void Stream::SetReading(bool on) {
+  reading_ = on;
+  Watch();
+}
+
+void Stream::Write(std::initializer_list<std::string_view> pieces) {
+  if (!IsOpen() || finish_ || broken_) return;
+  std::size_t written = 0;
+  if (Queued() == 0 && !connecting_) {
+    std::array<iovec, 8> parts{};
+    std::size_t count = 0;
+    for (const std::string_view piece : pieces) {
+      if (count < parts.size()) parts[count++] = {const_cast<char*>(piece.data()), piece.size()};
+    }
+    const ssize_t n = writev(fd_, parts.data(), static_cast<int>(count));
+    if (n >= 0) {
+      written = static_cast<std::size_t>(n);
+    } else if (errno != EAGAIN && errno != EINTR) {
+      Break();
+      return;
+    }
+  }
+  for (std::string_view piece : pieces) {
+    const std::size_t done = std::min(written, piece.size());
+    written -= done;
+    out_ += piece.substr(done);
+  }
+  Watch();
+}
+
+void Stream::Finish() {
+  finish_ = true;
+  if (IsUp() && Queued() == 0) Flush();
+}
+
+void Stream::Close() {
+  if (fd_ < 0) return;
+  ev_io_stop(loop_, &io_);
+  ev_clear_pending(loop_, &io_);
+  close(fd_);
+  fd_ = -1;
+}
+
+void Stream::Reset() {
+  if (fd_ < 0) return;
+  const linger hard{1, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  Close();
+}
+
+// Writes fail in the middle of what the relay does; the break is told from the loop, where a turn begins.
+void Stream::Break() {
+  broken_ = true;
+  ev_io_stop(loop_, &io_);
+  ev_feed_event(loop_, &io_, EV_CUSTOM);
+}
+
+void Stream::Watch() {
+  if (broken_ || !IsOpen()) return;
+  const int wanted =
+      connecting_ ? EV_WRITE
+                  : (reading_ && !in_ended_ && size_ < kInSize ? EV_READ : 0) | (Queued() > 0 ? EV_WRITE : 0);
+  if (ev_is_active(&io_) && (io_.events & (EV_READ | EV_WRITE)) == wanted) return;
+  ev_io_stop(loop_, &io_);
+  if (wanted == 0) return;
+  ev_io_set(&io_, fd_, wanted);
+  ev_io_start(loop_, &io_);
+}
+
+void Stream::OnIo(struct ev_loop* /*loop*/, ev_io* w, int events) {
+  static_cast<Stream*>(w->data)->Ready(events);
+}
+
+void Stream::Ready(int events) {
+  if (broken_) {
+    handler_.OnEnd(id_, StreamEnd::kReset);
+    return;
+  }
+  if (connecting_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+      broken_ = true;
+      handler_.OnEnd(id_, StreamEnd::kReset);
+      return;
+    }
+    connecting_ = false;
+    Watch();
+    handler_.OnConnected(id_);
+    if (IsOpen() && Queued() > 0) Flush();
+    return;
+  }
+  if ((events & EV_WRITE) != 0) {
+    Flush();
+    if (IsOpen() && !broken_ && Queued() == 0) handler_.OnRoom(id_);
+  }
+  if ((events & EV_READ) != 0 && IsOpen() && !broken_ && reading_ && !in_ended_) ReadSome();
+}
+
+void Stream::ReadSome() {
+  if (size_ == kInSize) return Watch();
+  const ssize_t n = read(fd_, in_.get() + size_, kInSize - size_);
+  if (n > 0) {
+    size_ += static_cast<std::size_t>(n);
+    Watch();
+    handler_.OnBytes(id_);
+  } else if (n == 0) {
+    in_ended_ = true;
+    Watch();
+    handler_.OnEnd(id_, StreamEnd::kFinished);
+  } else if (errno != EAGAIN && errno != EINTR) {
+    broken_ = true;
+    ev_io_stop(loop_, &io_);
+    handler_.OnEnd(id_, StreamEnd::kReset);
+  }
+}
+
+void Stream::Flush() {
+  while (Queued() > 0) {
+    const ssize_t n = write(fd_, out_.data() + out_begin_, Queued());
+    if (n < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN) Break();
+      break;
+    }
+    out_begin_ += static_cast<std::size_t>(n);
+  }
+  if (Queued() == 0) {
+    out_.clear();
+    out_begin_ = 0;
+    if (finish_ && !finished_ && !broken_) {
+      finished_ = true;
+      shutdown(fd_, SHUT_WR);
+    }
+  } else if (out_begin_ > kHighWater) {
+    out_.erase(0, out_begin_);
+    out_begin_ = 0;
+  }
+  Watch();
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,87 @@
+// One non-blocking socket with bounded buffers; the acquirer side, the legs, probes and discovery share it.
+#ifndef STOATRUN_NET_STREAM_H_
+#define STOATRUN_NET_STREAM_H_
+
+#include <ev.h>
+#include <netinet/in.h>
+#include <sys/uio.h>
+
+#include <cstddef>
+#include <initializer_list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/slots.h"
+
+namespace stoatrun {
+
+// An address as `IP:PORT`; no names are looked up.
+struct Address {
+  sockaddr_in raw{};
+  static std::optional<Address> Parse(std::string_view text);
+};
+
+enum class StreamEnd { kFinished, kReset };  // An orderly end of the peer's sending, or a break.
+
+class StreamHandler {
+ public:
+  virtual ~StreamHandler() = default;
+  virtual void OnConnected(SlotId /*id*/) {}
+  virtual void OnBytes(SlotId id) = 0;
+  virtual void OnEnd(SlotId id, StreamEnd end) = 0;  // At most once a stream.
+  virtual void OnRoom(SlotId /*id*/) {}              // All that was queued is written.
+};
+
+class Stream {
+ public:
+  static constexpr std::size_t kInSize = 2 * 4096;  // Two lines of the longest form.
+  static constexpr std::size_t kHighWater =
+      64 * 1024;  // Queued output over this stops the other side's reading.
+
+  Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id);
+  ~Stream();
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  void Adopt(int fd);                    // A socket that is up, already non-blocking.
+  bool Connect(const Address& address);  // False: refused at once or no descriptor to be had.
+
+  bool IsOpen() const { return fd_ >= 0; }
+  bool IsUp() const { return IsOpen() && !connecting_; }
+  // What was read and not consumed. It stays where it is until Consume, also when more comes.
+  std::string_view In() const { return {in_.get(), size_}; }
+  void Consume(std::size_t n);
+  void SetReading(bool on);
+  // A gathered write; what the socket does not take is queued. A break is told by OnEnd, later.
+  void Write(std::initializer_list<std::string_view> pieces);
+  std::size_t Queued() const { return out_.size() - out_begin_; }
+  void Finish();  // Ends our sending once all queued is written.
+  void Close();   // At once. Nothing more is told.
+  void Reset();   // At once, and the peer sees a break.
+
+ private:
+  static void OnIo(struct ev_loop* loop, ev_io* w, int events);
+  void Ready(int events);
+  void ReadSome();
+  void Flush();
+  void Break();
+  void Watch();
+
+  struct ev_loop* loop_;
+  StreamHandler& handler_;
+  SlotId id_;
+  ev_io io_{};
+  int fd_ = -1;
+  bool connecting_ = false, reading_ = true, in_ended_ = false, finish_ = false, finished_ = false,
+       broken_ = false;
+  std::unique_ptr<char[]> in_;
+  std::size_t size_ = 0;
+  std::string out_;
+  std::size_t out_begin_ = 0;
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_STREAM_H_
--- /dev/null
+++ b/src/net/terms.cpp
@@ -0,0 +1,133 @@
+#include "net/terms.h"
+
+#include <algorithm>
+
+#include "net/line.h"
+
+namespace stoatrun {
+namespace {
+
+namespace ah = arrowhatch;
+
+ah::RequestId RequestOf(SlotId authorisation) { return ah::RequestId(authorisation.Packed()); }
+SlotId AuthorisationOf(ah::RequestId id) { return SlotId::Unpack(static_cast<std::uint64_t>(id)); }
+ah::ServerId ServerOf(HostNumber host) { return ah::ServerId(host); }
+HostNumber HostOf(ah::ServerId id) { return static_cast<HostNumber>(id); }
+
+ah::Outcome OutcomeOf(LegEnd end) {
+  switch (end) {
+    case LegEnd::kServed:
+      return ah::Outcome::kServed;
+    case LegEnd::kError:
+      return ah::Outcome::kError;
+    case LegEnd::kTurnedAway:
+      return ah::Outcome::kTurnedAway;
+    case LegEnd::kNotConnected:
+      return ah::Outcome::kNotConnected;
+    case LegEnd::kBroken:
+      return ah::Outcome::kCut;
+    case LegEnd::kTimedOut:
+      return ah::Outcome::kTimedOut;
+    case LegEnd::kSentAway:
+    case LegEnd::kAbandoned:
+      return ah::Outcome::kCancelled;
+  }
+  return ah::Outcome::kUnknown;
+}
+
+std::optional<ah::LoadReport> ReportOf(std::string_view text) {
+  std::optional<ah::LoadReport> report;
+  EachFigure(text, [&](std::string_view name, double value) {
+    if (!report) report.emplace();
+    ah::settings::SetField(*report, ah::settings::ReportFieldOf(name), value);
+  });
+  return report;
+}
+
+ah::RequestArrived RequestArrivedOf(SlotId authorisation, const Opening& opening) {
+  ah::RequestArrived e;
+  e.id = RequestOf(authorisation);
+  e.class_id = ah::ClassId(static_cast<std::uint32_t>(opening.class_index));
+  e.deadline = opening.deadline;
+  e.load_hint = opening.load;
+  e.came_back = opening.again;
+  return e;
+}
+
+ah::ZoneId ZoneOf(const std::string& locality, std::vector<std::string>& zones) {
+  auto it = std::find(zones.begin(), zones.end(), locality);
+  if (it == zones.end()) it = zones.insert(zones.end(), locality);
+  return ah::ZoneId(static_cast<std::uint32_t>(it - zones.begin()));
+}
+
+struct Visitor {
+  Orders& orders;
+  void operator()(const ah::SendAttempt& a) const {
+    orders.OpenLeg(AuthorisationOf(a.id), HostOf(a.server), a.timeout);
+  }
+  void operator()(const ah::CancelAttempt& a) const { orders.AbandonLeg(AuthorisationOf(a.id), a.attempt); }
+  void operator()(const ah::RefuseRequest& a) const { orders.Decline(AuthorisationOf(a.id), a.come_back); }
+  void operator()(const ah::FailRequest& a) const { orders.Fail(AuthorisationOf(a.id)); }
+  void operator()(const ah::MoveClient& a) const { orders.Move(AuthorisationOf(a.id)); }
+  void operator()(const ah::ProbeServer& a) const { orders.Probe(HostOf(a.server)); }
+  void operator()(const ah::StartTimer& a) const { orders.WakeIn(a.delay); }
+  void operator()(const ah::WatchServers& /*a*/) const { orders.Watch(); }
+};
+
+}  // namespace
+
+void CarryOut(const ah::Action& action, Orders& orders) { std::visit(Visitor{orders}, action); }
+
+ah::Event Arrived(SlotId authorisation, const Opening& opening) {
+  return RequestArrivedOf(authorisation, opening);
+}
+
+ah::Event Resumed(SlotId authorisation, const Opening& opening, HostNumber host) {
+  return ah::ConnectionResumed{RequestArrivedOf(authorisation, opening), ServerOf(host)};
+}
+
+ah::Event LegIsUp(SlotId authorisation, HostNumber host) {
+  return ah::AttemptEstablished{RequestOf(authorisation), ServerOf(host)};
+}
+
+ah::Event LegEnded(SlotId authorisation, HostNumber host, LegEnd end, bool finished,
+                   std::string_view report) {
+  return ah::AttemptEnded{RequestOf(authorisation), ServerOf(host), OutcomeOf(end), finished,
+                          ReportOf(report)};
+}
+
+ah::Event LoadIs(SlotId authorisation, double load) { return ah::LoadTold{RequestOf(authorisation), load}; }
+
+ah::Event MessageTook(HostNumber host, Micros delay) { return ah::DelayTold{ServerOf(host), delay}; }
+
+ah::Event Probed(HostNumber host, bool ok, std::string_view report) {
+  return ah::ProbeAnswered{ServerOf(host), ok, ReportOf(report)};
+}
+
+ah::Event Left(SlotId authorisation) { return ah::ClientLeft{RequestOf(authorisation)}; }
+
+ah::Event ListFailed() { return ah::ServerList{ah::ServerList::Kind::kFailed, {}}; }
+
+ah::Event ListOf(const HostList& list, ListSource source,
+                 const std::function<HostNumber(const std::string&)>& number_of, const Clock& clock,
+                 std::vector<std::string>& zones) {
+  ah::ServerList out;
+  out.kind = source == ListSource::kKnown ? ah::ServerList::Kind::kCached
+             : list.complete              ? ah::ServerList::Kind::kFull
+                                          : ah::ServerList::Kind::kChanges;
+  for (const HostEntry& e : list.entries) {
+    ah::ServerEntry s;
+    s.id = ServerOf(number_of(e.id));
+    s.zone = ZoneOf(e.locality, zones);
+    s.cell = ah::CellId(e.cell);
+    s.state = e.phase == HostPhase::kReady      ? ah::ServerState::kReady
+              : e.phase == HostPhase::kDraining ? ah::ServerState::kDraining
+                                                : ah::ServerState::kGone;
+    s.size = e.size;
+    s.started = clock.FromUnixMs(e.up_since_ms);
+    out.entries.push_back(s);
+  }
+  return out;
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/terms.h
@@ -0,0 +1,64 @@
+// The one place where the module's names meet the shop's: request - authorisation, server - issuer host,
+// attempt - leg, refusal - decline.
+#ifndef STOATRUN_NET_TERMS_H_
+#define STOATRUN_NET_TERMS_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "arrowhatch/balancer.h"
+#include "net/clock.h"
+#include "net/hosts.h"
+#include "net/issuer.h"
+#include "net/slots.h"
+#include "settings/settings.h"
+
+namespace stoatrun {
+
+// What the module orders, in the shop's terms.
+class Orders {
+ public:
+  virtual ~Orders() = default;
+  virtual void OpenLeg(SlotId authorisation, HostNumber host, Micros wait) = 0;
+  virtual void AbandonLeg(SlotId authorisation, std::uint32_t leg_number) = 0;
+  virtual void Decline(SlotId authorisation, Micros come_back) = 0;
+  virtual void Fail(SlotId authorisation) = 0;
+  virtual void Move(SlotId authorisation) = 0;
+  virtual void Probe(HostNumber host) = 0;
+  virtual void WakeIn(Micros delay) = 0;
+  virtual void Watch() = 0;
+};
+
+void CarryOut(const arrowhatch::Action& action, Orders& orders);
+
+struct Opening {  // What the module hears of a new authorisation.
+  std::size_t class_index = 0;
+  Micros deadline{0};
+  std::optional<double> load;
+  bool again = false;
+};
+
+arrowhatch::Event Arrived(SlotId authorisation, const Opening& opening);
+arrowhatch::Event Resumed(SlotId authorisation, const Opening& opening, HostNumber host);
+arrowhatch::Event LegIsUp(SlotId authorisation, HostNumber host);
+// `report` is what followed the host's word, where reports come with answers.
+arrowhatch::Event LegEnded(SlotId authorisation, HostNumber host, LegEnd end, bool finished,
+                           std::string_view report);
+arrowhatch::Event LoadIs(SlotId authorisation, double load);
+arrowhatch::Event MessageTook(HostNumber host, Micros delay);
+arrowhatch::Event Probed(HostNumber host, bool ok, std::string_view report);
+arrowhatch::Event Left(SlotId authorisation);
+arrowhatch::Event ListFailed();
+
+enum class ListSource { kKnown, kWatch };
+arrowhatch::Event ListOf(const HostList& list, ListSource source,
+                         const std::function<HostNumber(const std::string&)>& number_of, const Clock& clock,
+                         std::vector<std::string>& zones);
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_TERMS_H_
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,40 @@
+// The settings of a deployment, in the one form that the simulator's first message and the relay's
+// configuration share. Parsed here and nowhere else.
+#ifndef ARROWHATCH_SETTINGS_SETTINGS_H_
+#define ARROWHATCH_SETTINGS_SETTINGS_H_
+
+#include <simdjson.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "arrowhatch/balancer.h"
+
+namespace arrowhatch::settings {
+
+enum class ReportField { kLoadRatio, kUtilisation, kOutstanding, kOther };
+
+// The field that a load report calls by this name.
+ReportField ReportFieldOf(std::string_view name);
+void SetField(LoadReport& report, ReportField field, double value);
+
+struct SiteSettings {
+  Settings module;
+  std::vector<ReportField> report_fields;
+  // What only a host on sockets needs.
+  std::vector<std::string> class_names;
+  std::vector<std::string> zone_names;
+  Micros connect_timeout{0};  // 0: none told.
+  Micros idle_close{0};
+  Micros stop_sending_within{0};
+  Micros longest_deadline{0};
+};
+
+// Throws FormError.
+SiteSettings ReadSettings(const simdjson::dom::element& facts, std::uint64_t seed);
+
+}  // namespace arrowhatch::settings
+
+#endif  // ARROWHATCH_SETTINGS_SETTINGS_H_
