--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -36,9 +36,9 @@
 
 class Stream {
  public:
-  static constexpr std::size_t kInSize = 2 * 4096;  // Two lines of the longest form.
+  static constexpr std::size_t kInSize = std::size_t{2} * 4096;  // Two lines of the longest form.
   static constexpr std::size_t kHighWater =
-      64 * 1024;  // Queued output over this stops the other side's reading.
+      std::size_t{64} * 1024;  // Queued output over this stops the other side's reading.
 
   Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id);
   ~Stream();
