--- a/include/arrowhatch/balancer.h
+++ b/include/arrowhatch/balancer.h
@@ -49,6 +49,7 @@
   bool probes_allowed = false;
   bool cancel_allowed = false;
   std::uint32_t max_attempts = 1;
+  Micros longest_advice{0};  // Clients heed a time to come back up to this; 0: they are not told one.
   std::vector<ClassSettings> classes;
   double zone_price = 0.0;     // Points for a crossing of zones per request.
   double cold_share = 1.0;     // A started server has at least this share of its capacity ...
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -665,7 +665,7 @@
     const bool refuse = MayRefuse(r);
     if (r.attempt_out && set_.cancel_allowed) Emit(CancelAttempt{r.info.id, r.attempts - 1});
     if (refuse) {
-      Emit(RefuseRequest{r.info.id, Micros(0)});
+      Emit(RefuseRequest{r.info.id, ComeBack()});
     } else {
       Emit(FailRequest{r.info.id});
     }
@@ -836,6 +836,17 @@
     return faults_.At(now_) > (kAttemptsPerSuccess - 1) * successes_.At(now_) + kAttemptsFree;
   }
 
+  // When the reason to refuse, as known now, will be over: a client told less would be refused again, one
+  // told more would lose service that is to be had.
+  Micros ComeBack() const {
+    Micros over = std::max(Micros(0), full_until_ - now_);
+    if (Overrun()) {  // Faults and successes fade alike, so their excess fades to what is free.
+      const double excess = faults_.At(now_) - (kAttemptsPerSuccess - 1) * successes_.At(now_);
+      over = std::max(over, FromSeconds(Seconds(kFaultMemory) * std::log(excess / kAttemptsFree)));
+    }
+    return std::min(over, set_.longest_advice);
+  }
+
   // ---- 11 dispatch ----
 
   struct Task {
--- a/src/net/deadlines.h
+++ b/src/net/deadlines.h
@@ -67,7 +67,11 @@
   Micros Now() const { return clock.Now(); }
   void AddSweeper(std::function<void()> sweeper) { sweepers_.push_back(std::move(sweeper)); }
   void Run() { ev_run(loop_, 0); }
-  void Stop() { ev_break(loop_, EVBREAK_ALL); }
+  void Stop() {
+    stopped_ = true;
+    ev_break(loop_, EVBREAK_ALL);
+  }
+  bool Stopped() const { return stopped_; }
   // One turn that does not block (tests).
   void Poll();
 
@@ -83,6 +87,7 @@
   ev_check check_{};
   ev_prepare prepare_{};
   ev_timer timer_{};
+  bool stopped_ = false;
   std::vector<std::function<void()>> sweepers_;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -41,6 +41,7 @@
   s.probes_allowed = BoolOr(limits, "probes", false);
   s.cancel_allowed = BoolOr(limits, "cancel", false);
   s.max_attempts = static_cast<std::uint32_t>(std::max(1.0, NumberOr(limits, "sendCap", 1)));
+  if (BoolOr(limits, "retryAfter", false)) s.longest_advice = TimeOr(limits, "maxRetryAfter", Micros(0));
   s.zone_price = NumberOr(prices, "crossZone", 0);
   s.cold_share = NumberOr(rules, "coldFrom", 1.0);
   s.cold_time = TimeOr(rules, "cold", Micros(0));
--- /dev/null
+++ b/tests/net/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/net/parts_test.cpp
@@ -0,0 +1,95 @@
+// The parts that need no sockets.
+#include <catch2/catch.hpp>
+
+#include "net/config.h"
+#include "net/deadlines.h"
+#include "net/line.h"
+#include "net/slots.h"
+
+namespace stoatrun {
+namespace {
+
+struct Thing {
+  explicit Thing(SlotId slot) : id(slot) {}
+  SlotId id;
+};
+
+TEST_CASE("a number finds nothing once its use has ended, though the slot is used again") {
+  Slots<Thing> slots;
+  const SlotId first = slots.Add().id;
+  slots.Erase(first);
+  const SlotId second = slots.Add().id;
+  CHECK(second.index == first.index);
+  CHECK(slots.Find(first) == nullptr);
+  CHECK(slots.Find(second) != nullptr);
+  CHECK(slots.Find(SlotId{}) == nullptr);
+  CHECK(SlotId::Unpack(second.Packed()) == second);
+}
+
+TEST_CASE("deadlines run in order, once, and not when taken back") {
+  Deadlines all;
+  std::string ran;
+  Deadline late(all, [&] { ran += 'l'; });
+  Deadline early(all, [&] { ran += 'e'; });
+  Deadline back(all, [&] { ran += 'b'; });
+  late.Set(Micros(20));
+  early.Set(Micros(10));
+  back.Set(Micros(5));
+  back.Cancel();
+  all.RunDue(Micros(9));
+  CHECK(ran.empty());
+  all.RunDue(Micros(20));
+  all.RunDue(Micros(30));
+  CHECK(ran == "el");
+}
+
+TEST_CASE("a deadline set anew by itself waits for the next call") {
+  Deadlines all;
+  int runs = 0;
+  Deadline again(all, [&] {
+    ++runs;
+    again.Set(Micros(1));
+  });
+  again.Set(Micros(1));
+  all.RunDue(Micros(5));
+  CHECK(runs == 1);
+  all.RunDue(Micros(5));
+  CHECK(runs == 2);
+}
+
+TEST_CASE("a start time is one time for ever, and one from before the clock's origin is still a start") {
+  const Clock clock(Clock::Mode::kManual);
+  CHECK(clock.FromUnixMs(0) == Micros(0));
+  CHECK(clock.FromUnixMs(1'999'000) == Micros(999'000'000));
+  CHECK(clock.FromUnixMs(1) == Micros(1));
+}
+
+TEST_CASE("first lines") {
+  const auto head = ParseOpen("OPEN 1 k c=chat,t=acme,d=2000,h=12.5,again=1,x=1");
+  REQUIRE(head);
+  CHECK(head->class_name == "chat");
+  CHECK(head->wait_ms == 2000);
+  CHECK(head->load == 12.5);
+  CHECK(head->again);
+  CHECK(head->before_wait == "OPEN 1 k c=chat,t=acme,d=");
+  CHECK(head->after_wait == ",h=12.5,again=1,x=1");
+  CHECK(ParseOpen("OPEN 1 k c=chat,d=1e300")->wait_ms == 86'400'000);
+  for (const char* bad :
+       {"", "OPEN", "OPEN 1", "OPEN 1 k", "OPEN 1 k d=5", "OPEN 1 k c=chat", "OPEN 1 k c=chat,d=x",
+        "OPEN 1 k c=chat,d=1,d=2", "OPEN 1 k c=chat,d=nan", "GET / HTTP/1.1"}) {
+    CHECK_FALSE(ParseOpen(bad));
+  }
+}
+
+TEST_CASE("a bad configuration is named") {
+  CHECK_THROWS_WITH(ParseConfig("{"), Catch::StartsWith("not JSON"));
+  CHECK_THROWS_WITH(ParseConfig("{}"), "name: missing");
+  CHECK_THROWS_WITH(ParseConfig(R"({"name":"n","listen":"there"})"),
+                    Catch::Contains("listen: expected IP:PORT"));
+  CHECK_THROWS_WITH(ParseConfig(R"({"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"g",
+                                    "settings":{"classes":[]}})"),
+                    Catch::Contains("seed"));
+}
+
+}  // namespace
+}  // namespace stoatrun
--- /dev/null
+++ b/tests/net/relay_test.cpp
@@ -0,0 +1,249 @@
+// Scenarios of the relay on sockets; the language is described in world.h.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "net/world.h"
+
+namespace stoatrun {
+namespace {
+
+// Both hosts report the same load; a lone host makes the landing certain.
+constexpr const char* kStand = R"(
+  a send OPEN 1 k c=watch,d=2000
+  s-1 expect OPEN 1 k c=watch,d=*
+  s-1 send UP r1
+  a expect UP r1
+)";
+
+class Alone : public World {
+ public:
+  Alone() : World({"s-1"}) {}
+};
+
+TEST_CASE_METHOD(Alone, "lines pass unchanged both ways until the host says BYE") {
+  Play(kStand);
+  Play(R"(
+    a send M 1 x
+    s-1 expect M 1 x
+    s-1 send LOAD 250
+    s-1 send M 1 x
+    a expect LOAD 250
+    a expect M 1 x
+    s-1 send BYE
+    s-1 close
+    a expect BYE
+    a expect-end
+  )");
+  CHECK(Counts().served == 1);
+}
+
+TEST_CASE_METHOD(Alone, "the wait is written anew and all other fields go on as they came") {
+  Play(R"(
+    a send OPEN 1 k z=?,c=watch,t=acme,d=2000,g=5c,later=1
+    s-1 expect OPEN 1 k z=?,c=watch,t=acme,d=998,g=5c,later=1
+  )");
+}
+
+// A wait of 71 minutes is what connections from before the start ask for: it was once refused as malformed.
+TEST_CASE_METHOD(Alone, "a connection that was open before is led back to its host") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=4294967,at=s-1
+    s-1 expect OPEN 1 k c=watch,d=*
+    s-1 send UP r1
+    a expect UP r1
+  )");
+  CHECK(Counts().resumed == 1);
+  CHECK(Counts().malformed == 0);
+}
+
+TEST_CASE_METHOD(Alone, "a client from before that gives up on an unlisted host is answered") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=4294967,at=s-9
+    wait 400
+    a half
+    a expect ERR
+    a expect-end
+  )");
+}
+
+TEST_CASE_METHOD(Alone, "PING is answered, and a first line may follow") {
+  Play(R"(
+    a send PING
+    a expect PONG
+    a send OPEN 1 k c=watch,d=2000
+    s-1 expect OPEN 1 k c=watch,d=*
+  )");
+}
+
+TEST_CASE_METHOD(Alone, "bad first lines get a failure line, a close and a count") {
+  Play("a send HELLO\na expect ERR\na expect-end");
+  Play("b send OPEN 1 k c=nobody,d=2000\nb expect ERR\nb expect-end");
+  Play("c send OPEN 1 k c=watch,d=-1\nc expect ERR\nc expect-end");
+  Play("d raw OPEN 1 k c=wat\nd half\nd expect ERR\nd expect-end");
+  Play("e raw " + std::string(5000, 'x') + "\ne expect ERR\ne expect-end");
+  Play("f raw OPEN\nwait 10100\nf expect ERR\nf expect-end");
+  Play("g send OPEN 1 k c=watch,d=2000,x=\x01\ng expect ERR\ng expect-end");
+  CHECK(Counts().malformed == 7);
+  CHECK(Counts().legs == 0);
+}
+
+TEST_CASE_METHOD(Alone, "lines in parts are put together, and what comes before UP waits for it") {
+  Play(R"(
+    a raw OPEN 1 k c=wa
+    a send tch,d=2000
+    a send M 1 early
+    s-1 expect OPEN 1 k c=watch,d=*
+    s-1 raw UP r
+    s-1 send 1
+    a expect UP r1
+    s-1 expect M 1 early
+    s-1 raw M 1 e
+    s-1 send arly
+    a expect M 1 early
+  )");
+}
+
+TEST_CASE_METHOD(Alone, "a leg that is turned away is closed before the next is opened") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=2000
+    s-1 expect OPEN 1 k*
+    s-1 send BUSY
+    s-1 expect-end
+    s-1#2 expect OPEN 1 k*
+    s-1#2 send UP r2
+    a expect UP r2
+  )");
+  CHECK(Counts().legs_turned_away == 1);
+}
+
+TEST_CASE_METHOD(Alone,
+                 "the module's last word comes when the client's time is up and no host was to be had") {
+  Play(R"(
+    s-1 down
+    a send OPEN 1 k c=watch,d=2000
+    wait 2000
+    a expect BUSY*
+    a expect-end
+  )");
+  CHECK(Counts().declined == 1);
+  CHECK(Counts().legs_not_connected >= 1);
+  CHECK(Counts().legs == Counts().legs_not_connected);
+}
+
+TEST_CASE_METHOD(Alone, "a host that takes the line and says nothing times out and is abandoned in time") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=1000
+    s-1 expect OPEN 1 k*
+    wait 1000
+    a expect BUSY*
+    a expect-end
+  )");
+  CHECK(Counts().legs_timed_out >= 1);
+}
+
+TEST_CASE_METHOD(Alone, "a client that leaves before UP takes its leg with it") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=2000
+    s-1 expect OPEN 1 k*
+    a close
+    s-1 expect-end
+  )");
+  CHECK(Counts().client_left == 1);
+}
+
+TEST_CASE_METHOD(Alone, "each side ends as the other did") {
+  Play(kStand);
+  SECTION("the client's end") {
+    Play("a half\ns-1 expect-end\ns-1 send BYE\ns-1 close\na expect BYE\na expect-end");
+  }
+  SECTION("the client's end, where the host never ends") {
+    Play("a half\ns-1 expect-end\nwait 900\na expect-end");
+  }
+  SECTION("the client's break") { Play("a reset\ns-1 expect-reset"); }
+  SECTION("the host's end") { Play("s-1 close\na expect-end"); }
+  SECTION("the host's break") { Play("s-1 reset\na expect-reset"); }
+  SECTION("the host's MOVE") { Play("s-1 send MOVE\ns-1 close\na expect MOVE\na expect-end"); }
+}
+
+// A machine that vanishes leaves its connections open: nothing but the missing answer shows it.
+TEST_CASE_METHOD(Alone,
+                 "a host that falls silent loses its clients within seven seconds of its last answer") {
+  Play(kStand);
+  Play(R"(
+    a send M 1 x
+    s-1 expect M 1 x
+    s-1 send M 1 x
+    a expect M 1 x
+    wait 2000
+    a send M 2 x
+    wait 4400
+    a expect MOVE
+    a expect-end
+    s-1 expect M 2 x
+    s-1 expect-end
+  )");
+  CHECK(Counts().silent == 1);
+}
+
+TEST_CASE_METHOD(Alone, "a connection without client lines is not taken for silent") {
+  Play(kStand);
+  Play("wait 9000\na send M 1 x\ns-1 expect M 1 x");
+  CHECK(Counts().silent == 0);
+}
+
+TEST_CASE_METHOD(Alone, "a planned end still takes clients, then moves all that stand and stops") {
+  Play(kStand);
+  Play(R"(
+    drain
+    wait 300
+    b send OPEN 2 k c=watch,d=2000
+    s-1#2 expect OPEN 2 k*
+    s-1#2 send UP r2
+    b expect UP r2
+    wait 1800
+    a expect MOVE
+    a expect-end
+    b expect MOVE
+    b expect-end
+    a close
+    b close
+    wait 100
+    stopped
+  )");
+  CHECK(Counts().moved == 2);
+}
+
+// MOVE in the middle of a line would be read as its rest.
+TEST_CASE_METHOD(Alone, "MOVE waits for no half line and never falls into one") {
+  Play(kStand);
+  Play("s-1 raw M 1 half\ndrain\nwait 2100\na expect MOVE\na expect-end");
+}
+
+// The host's backlog is full, so the connection never comes up; told of the drain, nothing more may go there.
+TEST_CASE_METHOD(Alone, "a drain that is told stops sending") {
+  Play(R"(
+    discovery send {"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"","phase":"draining"}]}
+    a send OPEN 1 k c=watch,d=1000
+    wait 1000
+    a expect BUSY*
+    s-1 legs 0
+  )");
+  CHECK(Counts().legs == 0);
+}
+
+TEST_CASE_METHOD(Alone, "a watch that ends, is refused or falls silent is made anew and the list stays") {
+  Play("discovery watches 1");
+  SECTION("ends") { Play("discovery close\nwait 100\ndiscovery watches 2"); }
+  SECTION("refused") {
+    Play("discovery refuse\ndiscovery close\nwait 300\ndiscovery watches 3\ndiscovery serve\nwait 1000");
+    Play("discovery watches 4");
+  }
+  SECTION("silent") {
+    Play("discovery send {\"revision\":2,\"members\":[]}\nwait 3200\ndiscovery watches 2");
+  }
+  SECTION("malformed") { Play("discovery send {\"revision\":\nwait 100\ndiscovery watches 2"); }
+  Play(kStand);
+}
+
+}  // namespace
+}  // namespace stoatrun
--- /dev/null
+++ b/tests/net/world.cpp
@@ -0,0 +1,278 @@
+#include "net/world.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <chrono>
+#include <sstream>
+
+#include "net/config.h"
+
+namespace stoatrun {
+namespace {
+
+constexpr auto kPatience =
+    std::chrono::seconds(5);  // For loopback, by the wall: only a failure waits for it.
+
+constexpr std::string_view kSettings = R"({"balancers":1,"zone":0,"azs":["z"],"discovery":"subscribe",
+ "classes":[{"name":"watch","effect":"idempotent","group":"all","target":500000,"hardLimit":2000000}],
+ "familyInfo":{"messageAim":[50000]},"stats":{"how":"on_probe","fields":["outstanding","errors_per_s","x0"]},
+ "limits":{"probes":true,"cancel":true,"sendCap":5,"connectTimeout":250000,"idleClose":10000000,"retryAfter":true,
+ "maxRetryAfter":2000000},"invariants":{"stopSendingWithin":250000,"cold":9000000,"coldFrom":0.32,"fall":1000000,
+ "fallMultiple":3.0}})";
+
+int NonBlocking(int fd) {
+  fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+  return fd;
+}
+
+sockaddr_in Local(int port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(static_cast<std::uint16_t>(port));
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return a;
+}
+
+}  // namespace
+
+void World::Peer::Read() {
+  std::array<char, 8192> buffer{};
+  while (fd >= 0 && !ended) {
+    const ssize_t n = recv(fd, buffer.data(), buffer.size(), 0);
+    if (n > 0) {
+      in.append(buffer.data(), static_cast<std::size_t>(n));
+    } else if (n == 0 || errno != EAGAIN) {
+      ended = true;
+      reset = n != 0;
+    } else {
+      return;
+    }
+  }
+}
+
+void World::Peer::Send(std::string_view text) const {
+  CHECK(send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+}
+
+void World::Peer::Close(bool hard) {
+  if (fd < 0) return;
+  const linger how{hard ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof how);
+  close(fd);
+  fd = -1;
+}
+
+void World::Listen(Server& s) {
+  s.fd = NonBlocking(socket(AF_INET, SOCK_STREAM, 0));
+  const int on = 1;
+  setsockopt(s.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in a = Local(s.port);
+  REQUIRE(bind(s.fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
+  REQUIRE(listen(s.fd, 64) == 0);
+  socklen_t size = sizeof a;
+  getsockname(s.fd, reinterpret_cast<sockaddr*>(&a), &size);
+  s.port = ntohs(a.sin_port);
+}
+
+World::World(const std::vector<std::string>& hosts) {
+  SetLogLevel(Level::kError);
+  Listen(discovery_);
+  std::string members;
+  for (const std::string& id : hosts) {
+    Listen(hosts_[id]);
+    members += (members.empty() ? "" : ",") + std::string(R"({"id":")") + id +
+               R"(","host_port":"127.0.0.1:)" + std::to_string(hosts_[id].port) +
+               R"(","locality":"z","phase":"ready","later_field":[1]})";
+  }
+  const Config config = ParseConfig(R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
+                                    std::to_string(discovery_.port) +
+                                    R"(","seed":"7","known":{"revision":1,"complete":true,"members":[)" +
+                                    members + R"(]},"settings":)" + std::string(kSettings) + "}");
+  relay_ = std::make_unique<Relay>(loop_, config);
+  relay_->Start();
+}
+
+World::~World() {
+  for (auto& [name, peer] : clients_) peer->Close(false);
+  hosts_["discovery"] = std::move(discovery_);
+  for (auto& [name, host] : hosts_) {
+    if (host.fd >= 0) close(host.fd);
+    for (auto* all : {&host.fresh, &host.legs}) {
+      for (auto& peer : *all) peer->Close(false);
+    }
+  }
+}
+
+void World::Serve(Server& host) {
+  if (host.mute) return;
+  for (int fd = 0; host.fd >= 0 && (fd = accept(host.fd, nullptr, nullptr)) >= 0;) {
+    host.fresh.push_back(std::make_unique<Peer>());
+    host.fresh.back()->fd = NonBlocking(fd);
+  }
+  for (auto& peer : host.fresh) {
+    if (!peer) continue;
+    peer->Read();
+    const bool probe = peer->in.starts_with("STATS\r\n");
+    if (probe) {
+      peer->in.erase(0, 7);
+      peer->Send("PONG inflight=3,x0=0.2,later=?\r\n");
+    } else if (!peer->in.empty()) {
+      host.legs.push_back(std::move(peer));
+    }
+  }
+  std::erase(host.fresh, nullptr);
+}
+
+void World::ServeDiscovery() {
+  for (int fd = 0; (fd = accept(discovery_.fd, nullptr, nullptr)) >= 0;) {
+    discovery_.fresh.push_back(std::make_unique<Peer>());
+    discovery_.fresh.back()->fd = NonBlocking(fd);
+  }
+  for (auto& peer : discovery_.fresh) {
+    peer->Read();
+    if (peer->in.find("\r\n\r\n") == std::string::npos) continue;
+    if (discovery_refuses_) {
+      peer->Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    discovery_.legs.push_back(std::move(peer));
+  }
+  std::erase(discovery_.fresh, nullptr);
+}
+
+void World::Turn() {
+  loop_.Poll();
+  for (auto& [id, host] : hosts_) Serve(host);
+  ServeDiscovery();
+}
+
+template <typename F>
+bool World::Until(F&& holds) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    Turn();
+  }
+  return true;
+}
+
+World::Peer& World::PeerOf(const std::string& who, const std::string& step) {
+  INFO(step);
+  const std::size_t mark = who.find('#');
+  if (const auto host = hosts_.find(who.substr(0, mark)); host != hosts_.end()) {
+    const std::size_t number = mark == std::string::npos ? 1 : std::stoul(who.substr(mark + 1));
+    REQUIRE(Until([&] { return host->second.legs.size() >= number; }));
+    return *host->second.legs[number - 1];
+  }
+  auto& client = clients_[who];
+  if (!client) {
+    client = std::make_unique<Peer>();
+    client->fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in a = Local(relay_->Port());
+    REQUIRE(connect(client->fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+    NonBlocking(client->fd);
+  }
+  return *client;
+}
+
+void World::Expect(Peer& peer, const std::string& text, const std::string& step) {
+  INFO(step);
+  const bool came = Until([&] {
+    peer.Read();
+    return peer.in.find("\r\n") != std::string::npos || peer.ended;
+  });
+  INFO("came: " << peer.in);
+  REQUIRE(came);
+  const std::string line = peer.in.substr(0, peer.in.find("\r\n"));
+  peer.in.erase(0, line.size() + 2);
+  if (!text.empty() && text.back() == '*') {
+    REQUIRE(line.substr(0, text.size() - 1) == text.substr(0, text.size() - 1));
+  } else {
+    REQUIRE(line == text);
+  }
+}
+
+void World::Play(std::string_view script) {
+  std::istringstream lines{std::string(script)};
+  for (std::string line; std::getline(lines, line);) {
+    line.erase(0, line.find_first_not_of(' '));
+    if (!line.empty()) Step(line);
+  }
+}
+
+void World::Step(const std::string& step) {
+  INFO(step);
+  std::istringstream words(step);
+  std::string who, verb, text;
+  words >> who >> verb >> std::ws;
+  std::getline(words, text);
+  if (who == "wait") {  // In small steps: what falls due sees its own time.
+    for (int left = std::stoi(verb); left > 0; left -= 5) {
+      loop_.clock.Advance(std::chrono::milliseconds(std::min(left, 5)));
+      for (int k = 0; k < 3; ++k) Turn();
+    }
+  } else if (who == "drain") {
+    relay_->Drain();
+  } else if (who == "stopped") {
+    REQUIRE(Until([&] { return loop_.Stopped(); }));
+  } else if (who == "discovery") {
+    if (verb == "refuse" || verb == "serve") {
+      discovery_refuses_ = verb == "refuse";
+    } else {
+      REQUIRE(Until([&] { return !discovery_.legs.empty(); }));
+      Peer& watch = *discovery_.legs.back();
+      if (verb == "send") {
+        std::ostringstream chunk;
+        chunk << std::hex << text.size() + 1 << "\r\n" << text << "\n\r\n";
+        watch.Send(chunk.str());
+      } else if (verb == "watches") {
+        REQUIRE(Until([&] { return discovery_.legs.size() >= std::stoul(text); }));
+      } else {
+        REQUIRE(verb == "close");
+        watch.Close(false);
+      }
+    }
+    for (int k = 0; k < 5; ++k) Turn();
+  } else if (verb == "down" || verb == "up" || verb == "full") {
+    Server& host = hosts_.at(who);
+    host.mute = verb == "full";
+    if (verb == "down") {
+      close(host.fd);
+      host.fd = -1;
+    } else if (verb == "up") {
+      Listen(host);
+    }
+  } else if (verb == "legs") {
+    REQUIRE(hosts_.at(who).legs.size() == std::stoul(text));
+  } else {
+    Peer& peer = PeerOf(who, step);
+    if (verb == "send") {
+      peer.Send(text + "\r\n");
+    } else if (verb == "raw") {
+      peer.Send(text);
+    } else if (verb == "expect") {
+      Expect(peer, text, step);
+    } else if (verb == "expect-end" || verb == "expect-reset") {
+      REQUIRE(Until([&] {
+        peer.Read();
+        return peer.ended;
+      }));
+      CHECK(peer.in.empty());
+      CHECK(peer.reset == (verb == "expect-reset"));
+    } else if (verb == "half") {
+      shutdown(peer.fd, SHUT_WR);
+    } else {
+      REQUIRE((verb == "close" || verb == "reset"));
+      peer.Close(verb == "reset");
+    }
+    for (int k = 0; k < 3; ++k) Turn();
+  }
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/tests/net/world.h
@@ -0,0 +1,75 @@
+// The one helper of the network tests: a relay on real loopback sockets under a clock that only `wait` moves,
+// with toy clients, issuer hosts and discovery, played from a script of one step a line:
+//
+//   a send TEXT        client a (connected at its first step) sends a line; `raw` sends without the line's
+//   end a expect TEXT      its next line; a * at the end takes any rest; `expect-end`, `expect-reset`: how it
+//   ends a half | close | reset   ends its sending; closes; breaks s-1 ...            the same for the first
+//   leg at host s-1 (s-1#2: the second); `s-1 legs N` counts them s-1 down | up | full   refuses connections;
+//   takes them again; lets them wait unanswered discovery send JSON | close | refuse | serve   a line of the
+//   watch; ends it; answers 503; serves again wait MS | drain | stopped
+#ifndef STOATRUN_TESTS_NET_WORLD_H_
+#define STOATRUN_TESTS_NET_WORLD_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/deadlines.h"
+#include "net/relay.h"
+
+namespace stoatrun {
+
+class World {
+ public:
+  explicit World(const std::vector<std::string>& hosts);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  void Play(std::string_view script);  // Fails the test at the first step that does not hold.
+  const Counters& Counts() const { return relay_->Counts(); }
+
+ private:
+  struct Peer {  // One socket of the toy side.
+    int fd = -1;
+    std::string in;
+    bool ended = false, reset = false;
+    void Read();
+    void Send(std::string_view text) const;
+    void Close(bool hard);
+  };
+  struct Server {  // A toy host or discovery.
+    int fd = -1;
+    int port = 0;
+    std::vector<std::unique_ptr<Peer>> fresh, legs;
+    bool mute = false;  // Takes connections and never reads them.
+  };
+
+  void Step(const std::string& line);
+  void Turn();
+  void Serve(Server& host);
+  void ServeDiscovery();
+  Peer& PeerOf(const std::string& who, const std::string& step);
+  void Expect(Peer& peer, const std::string& text, const std::string& step);
+  template <typename F>
+  bool Until(F&& holds);
+
+  static void Listen(Server& s);
+
+  Loop loop_{Clock::Mode::kManual};
+  std::map<std::string, Server> hosts_;
+  Server discovery_;
+  bool discovery_refuses_ = false;
+  std::map<std::string, std::unique_ptr<Peer>> clients_;
+  std::unique_ptr<Relay> relay_;
+};
+
+// Plays a script in a world of the hosts s-1 and s-2 of its own.
+inline void Play(std::string_view script) { World({"s-1", "s-2"}).Play(script); }
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_TESTS_NET_WORLD_H_
