--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -233,6 +233,26 @@
   EXPECT_TRUE(Of<ProbeServer>(next).empty());
 }
 
+// Holding an answer back to keep its client from coming again is no answer: the refusal says when instead.
+TEST(Overload, ARefusalTellsWhenItsReasonWillBeOver) {
+  Settings set = PlainSettings();
+  for (const Micros longest : {Ms(0), Ms(200), Ms(2000)}) {
+    set.longest_advice = longest;
+    Harness h(set);
+    h.List({Ready(1)});
+    h.Request(1);
+    const auto refused = Of<RefuseRequest>(h.Report(1, 0.99));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_LE(refused[0].come_back, std::min(longest, Ms(1100)));
+    EXPECT_GE(refused[0].come_back, std::min(longest, Ms(300)));
+    if (longest < Ms(2000)) continue;
+    h.Pass(refused[0].come_back - Ms(1));
+    EXPECT_EQ(Of<RefuseRequest>(h.Request(2)).size(), 1U);  // Too early: refused without a look.
+    h.Pass(Ms(2));
+    EXPECT_TRUE(Of<RefuseRequest>(h.Request(3)).empty());  // Looked at again.
+  }
+}
+
 TEST(Overload, CountsWhatOtherGatewaysMayHavePlacedMeanwhile) {
   // Ten servers at 0.6; this gateway holds one connection on each and its nine siblings likely do too, so
   // that one more on each server by all adds 0.6. Arrivals one a second pass, a rush of them is refused on
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -130,6 +130,21 @@
   CHECK(Counts().legs == Counts().legs_not_connected);
 }
 
+// Once full, always the same answer at once; an answer held back would only hide the refusal.
+TEST_CASE_METHOD(Alone, "with all hosts full the answer is at once BUSY and a time to come back") {
+  Play(R"(
+    s-1 load 0.99
+    a send OPEN 1 k c=watch,d=2000
+    a expect BUSY *
+    a expect-end
+    b send OPEN 2 k c=watch,d=2000
+    b expect BUSY *
+    b expect-end
+  )");
+  CHECK(Counts().declined == 2);
+  CHECK(Counts().legs == 0);
+}
+
 TEST_CASE_METHOD(Alone, "a host that takes the line and says nothing times out and is abandoned in time") {
   Play(R"(
     a send OPEN 1 k c=watch,d=1000
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -120,7 +120,7 @@
     const bool probe = peer->in.starts_with("STATS\r\n");
     if (probe) {
       peer->in.erase(0, 7);
-      peer->Send("PONG inflight=3,x0=0.2,later=?\r\n");
+      peer->Send("PONG inflight=3,x0=" + host.load + ",later=?\r\n");
     } else if (!peer->in.empty()) {
       host.legs.push_back(std::move(peer));
     }
@@ -248,6 +248,8 @@
     } else if (verb == "up") {
       Listen(host);
     }
+  } else if (verb == "load") {
+    hosts_.at(who).load = text;
   } else if (verb == "legs") {
     REQUIRE(hosts_.at(who).legs.size() == std::stoul(text));
   } else {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -45,7 +45,8 @@
     int fd = -1;
     int port = 0;
     std::vector<std::unique_ptr<Peer>> fresh, legs;
-    bool mute = false;  // Takes connections and never reads them.
+    bool mute = false;         // Takes connections and never reads them.
+    std::string load = "0.2";  // What its probes tell.
   };
 
   void Step(const std::string& line);
