--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // stoatrun: environment, signals, wiring and exit codes. 0: ended in order; 1: failed; 2: bad configuration.
 #include <ev.h>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <exception>
@@ -43,6 +44,12 @@
   using stoatrun::Level;
   using stoatrun::LogLine;
   try {
+    // Each client takes two descriptors; the shell's soft limit is often far under what is allowed.
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < files.rlim_max) {
+      files.rlim_cur = files.rlim_max;
+      setrlimit(RLIMIT_NOFILE, &files);
+    }
     const stoatrun::Config config = stoatrun::LoadConfig();
     stoatrun::SetLogLevel(config.log_level);
     stoatrun::Loop loop;
--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <string>
 #include <system_error>
@@ -17,7 +18,7 @@
 constexpr Micros kHeadWait = std::chrono::seconds(10);  // For a first line; the front pings far more often.
 constexpr Micros kEndWait = std::chrono::milliseconds(800);  // For the client's end after ours.
 constexpr int kAcceptsATurn = 64;
-constexpr std::string_view kFailureLine = "ERR\r\n";
+constexpr std::string_view kFailureLine = "ERR\r\n", kBusyLine = "BUSY\r\n";
 
 // The start of what a client sent, fit for a log.
 std::string Shown(std::string_view in) {
@@ -78,16 +79,13 @@
     if (fd < 0) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
       if (errno == EAGAIN) return;
+      if ((errno == EMFILE || errno == ENFILE) && spare_fd_ >= 0) {
+        if (TurnAway()) continue;
+        return;  // Nobody waits: the want of a descriptor is told before the queue is looked at.
+      }
       ++counters_.accept_failed;
       LogLine(Level::kWarn) << "accept failed errno=" << errno;
-      if ((errno != EMFILE && errno != ENFILE) || spare_fd_ < 0) return;
-      // Without a descriptor the queue would stay ready and spin the loop. The spare one takes the caller and
-      // turns it away, so that it can come again elsewhere at once.
-      close(spare_fd_);
-      const int surplus = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
-      if (surplus >= 0) close(surplus);
-      spare_fd_ = OpenSpare();
-      continue;
+      return;
     }
     ++counters_.accepted;
     Client& c = clients_.Add(*this);
@@ -96,6 +94,31 @@
   }
 }
 
+// Without a descriptor the queue would stay ready and spin the loop, and who waits in it would get no answer.
+// The spare descriptor takes one caller at a time and tells it to come again.
+bool Acquirer::TurnAway() {
+  close(spare_fd_);
+  const int surplus = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (surplus >= 0) {
+    ++counters_.accept_failed;
+    std::array<char, kMaxLine> unread{};  // Bytes left unread would turn the end into a reset.
+    const bool told = write(surplus, kBusyLine.data(), kBusyLine.size()) > 0;
+    shutdown(surplus, SHUT_WR);
+    const bool asked = read(surplus, unread.data(), unread.size()) > 0;
+    LogLine(Level::kWarn) << "turned away without a descriptor, asked=" << asked << " told=" << told;
+    close(surplus);
+  }
+  spare_fd_ = OpenSpare();
+  return surplus >= 0;
+}
+
+std::size_t Acquirer::Asking() {
+  std::size_t asking = 0;
+  clients_.ForEach(
+      [&](const Client& c) { asking += c.state != Client::State::kHead || !c.stream.In().empty() ? 1 : 0; });
+  return asking;
+}
+
 Stream* Acquirer::Find(SlotId client) {
   Client* c = clients_.Find(client);
   return c == nullptr || c->state != Client::State::kOpened ? nullptr : &c->stream;
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -44,7 +44,7 @@
   // Sends a last line (or none) and ends the connection in order.
   void End(SlotId client, std::string_view last_line);
   void Reset(SlotId client);
-  std::size_t Size() const { return clients_.Size(); }
+  std::size_t Asking();  // Connections with anything begun on them.
 
   void OnBytes(SlotId id) override;
   void OnEnd(SlotId id, StreamEnd end) override;
@@ -66,6 +66,7 @@
 
   static void OnAccept(struct ev_loop* loop, ev_io* w, int events);
   void Accept();
+  bool TurnAway();  // False: nobody waited.
   void Due(SlotId id);
   void ReadHead(Client& c);
   void Malformed(Client& c, std::string_view why);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -469,7 +469,7 @@
   standing.resize((standing.size() + steps - 1) / steps);
   for (const SlotId id : standing) Move(id);
   const Micros longest = std::max(site_.longest_deadline, kLeastDeadline);
-  const bool done = authorisations_.Size() == 0 && acquirer_.Size() == 0;
+  const bool done = authorisations_.Size() == 0 && acquirer_.Asking() == 0;
   if (done || loop_.Now() >= drain_at_ + longest + kAfterDeadline) {
     LogLine(Level::kInfo) << "drained, left=" << authorisations_.Size();
     loop_.Stop();
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -228,6 +228,25 @@
   CHECK(Counts().moved == 2);
 }
 
+// The front's checks keep connections without a first line open; they once held the end up until its last
+// moment.
+TEST_CASE_METHOD(Alone, "a planned end does not wait for connections that asked for nothing") {
+  Play("a send PING\na expect PONG\ndrain\nwait 700\nstopped");
+}
+
+// Closing a connection that the machine has taken would lose its client's request without an answer.
+TEST_CASE_METHOD(Alone, "without a descriptor left a client is told to come again") {
+  Play("exhaust a\na expect BUSY\na expect-end");
+  CHECK(Counts().accept_failed == 1);
+  Play("b send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*");
+}
+
+// The host takes nothing while the client sends far more than all buffers hold, and then ends.
+TEST_CASE_METHOD(Alone, "lines wait for a slow host within bounds and none is lost at the client's end") {
+  Play(kStand);
+  Play("a flood 12000\na half\nwait 50\ns-1 expect-flood\ns-1 expect-end");
+}
+
 // MOVE in the middle of a line would be read as its rest.
 TEST_CASE_METHOD(Alone, "MOVE waits for no half line and never falls into one") {
   Play(kStand);
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -219,6 +219,12 @@
     }
   } else if (who == "drain") {
     relay_->Drain();
+  } else if (who == "exhaust") {  // No descriptor is left when the client's connection is to be taken.
+    PeerOf(verb, step);
+    std::vector<int> taken;
+    for (int fd = 0; (fd = open("/dev/null", O_RDONLY)) >= 0;) taken.push_back(fd);
+    for (int k = 0; k < 5; ++k) Turn();
+    for (const int fd : taken) close(fd);
   } else if (who == "stopped") {
     REQUIRE(Until([&] { return loop_.Stopped(); }));
   } else if (who == "discovery") {
@@ -267,6 +273,28 @@
       }));
       CHECK(peer.in.empty());
       CHECK(peer.reset == (verb == "expect-reset"));
+    } else if (verb == "flood") {
+      std::string chunk(999, '.');
+      for (std::size_t k = 0; k < std::stoul(text); ++k) {
+        chunk.replace(0, 8, std::to_string(10'000'000 + k));
+        const std::string line = chunk + '\n';
+        for (int tries = 0; tries < 50;
+             ++tries) {  // Whole lines, so that the reader can tell what is missing.
+          const ssize_t n = send(peer.fd, line.data(), line.size(), MSG_NOSIGNAL);
+          if (n > 0) flood_ += line.substr(0, static_cast<std::size_t>(n));
+          if (n > 0) break;
+          Turn();
+        }
+      }
+      REQUIRE_FALSE(flood_.empty());
+    } else if (verb == "expect-flood") {
+      Until([&] {
+        peer.Read();
+        return peer.in.size() >= flood_.size() || peer.ended;
+      });
+      CHECK(peer.in.size() == flood_.size());
+      CHECK((peer.in == flood_));
+      peer.in.clear();
     } else if (verb == "half") {
       shutdown(peer.fd, SHUT_WR);
     } else {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -64,6 +64,7 @@
   std::map<std::string, Server> hosts_;
   Server discovery_;
   bool discovery_refuses_ = false;
+  std::string flood_;
   std::map<std::string, std::unique_ptr<Peer>> clients_;
   std::unique_ptr<Relay> relay_;
 };
