Tests of legs that never come up: given up in time, and within a drain's grace

The drain's scenario fails with the grace made a hundred times as long (kDrainPart in src/net/issuer.cpp: no leg is given up) and passes with it. No change of behaviour; a field that only one function used is gone.

--- a/src/net/issuer.cpp
+++ b/src/net/issuer.cpp
@@ -100,9 +100,8 @@
 
 void Issuer::Start(Link& link) {
   const Host& h = hosts_[link.host];
-  link.failed_at_once = !h.address || !link.stream.Connect(*h.address);
-  link.deadline.Set(link.failed_at_once ? loop_.Now() + kStepWait
-                                        : std::min(link.give_up, loop_.Now() + times_.connect));
+  const bool begun = h.address && link.stream.Connect(*h.address);
+  link.deadline.Set(begun ? std::min(link.give_up, loop_.Now() + times_.connect) : loop_.Now() + kStepWait);
 }
 
 void Issuer::Probe(HostNumber host) {
--- a/src/net/issuer.h
+++ b/src/net/issuer.h
@@ -94,7 +94,6 @@
     Deadline deadline;
     LegWork work;
     Micros give_up{0};
-    bool failed_at_once = false;
     bool sent = false;  // The first line's last byte is with the socket.
     bool up = false;    // A leg after UP; a probe's connection while it is idle.
   };
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -256,7 +256,31 @@
   Play("s-1 raw M 1 half\ndrain\nwait 2100\na expect MOVE\na expect-end");
 }
 
-// The host's backlog is full, so the connection never comes up; told of the drain, nothing more may go there.
+// A machine that vanished lets no connection come up and refuses none.
+TEST_CASE_METHOD(Alone, "a leg that does not come up in its time has not run") {
+  Play(kStand);
+  Play("s-1 full\nb send OPEN 2 k c=watch,d=2000\nwait 240");
+  CHECK(Counts().legs == 2);
+  CHECK(Counts().legs_not_connected == 0);
+  Play("wait 15");
+  CHECK(Counts().legs_not_connected == 1);
+}
+
+// Guards the rule of careful drains: the leg would send its first byte when it comes up, long after the
+// grace.
+TEST_CASE_METHOD(Alone, "a leg that still connects when a drain is told is given up within the grace") {
+  Play(kStand);
+  Play(R"(
+    s-1 full
+    b send OPEN 2 k c=watch,d=2000
+    wait 20
+    discovery send {"revision":2,"complete":false,"members":[{"id":"s-1","phase":"draining"}]}
+    wait 160
+  )");
+  CHECK(Counts().legs == 2);
+  CHECK(Counts().legs_not_connected == 1);
+}
+
 TEST_CASE_METHOD(Alone, "a drain that is told stops sending") {
   Play(R"(
     discovery send {"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"","phase":"draining"}]}
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -103,6 +103,7 @@
   hosts_["discovery"] = std::move(discovery_);
   for (auto& [name, host] : hosts_) {
     if (host.fd >= 0) close(host.fd);
+    for (const int fd : host.waiting) close(fd);
     for (auto* all : {&host.fresh, &host.legs}) {
       for (auto& peer : *all) peer->Close(false);
     }
@@ -110,8 +111,7 @@
 }
 
 void World::Serve(Server& host) {
-  if (host.mute) return;
-  for (int fd = 0; host.fd >= 0 && (fd = accept(host.fd, nullptr, nullptr)) >= 0;) {
+  for (int fd = 0; host.waiting.empty() && host.fd >= 0 && (fd = accept(host.fd, nullptr, nullptr)) >= 0;) {
     host.fresh.push_back(std::make_unique<Peer>());
     host.fresh.back()->fd = NonBlocking(fd);
   }
@@ -246,14 +246,17 @@
       }
     }
     for (int k = 0; k < 5; ++k) Turn();
-  } else if (verb == "down" || verb == "up" || verb == "full") {
+  } else if (verb == "down") {
     Server& host = hosts_.at(who);
-    host.mute = verb == "full";
-    if (verb == "down") {
-      close(host.fd);
-      host.fd = -1;
-    } else if (verb == "up") {
-      Listen(host);
+    close(host.fd);
+    host.fd = -1;
+  } else if (verb == "full") {
+    Server& host = hosts_.at(who);
+    listen(host.fd, 0);
+    const sockaddr_in a = Local(host.port);
+    for (int k = 0; k < 3; ++k) {
+      host.waiting.push_back(NonBlocking(socket(AF_INET, SOCK_STREAM, 0)));
+      connect(host.waiting.back(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
     }
   } else if (verb == "load") {
     hosts_.at(who).load = text;
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -45,7 +45,7 @@
     int fd = -1;
     int port = 0;
     std::vector<std::unique_ptr<Peer>> fresh, legs;
-    bool mute = false;         // Takes connections and never reads them.
+    std::vector<int> waiting;  // Connections that fill its queue: no more come up.
     std::string load = "0.2";  // What its probes tell.
   };
 
