Take samples that came back empty again, without charge to their budget

Such answers now give their budget back and the server is asked again after 0.5 s (kBlankInterval). The new test finds no late sample without the change and passes with it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,8 +50,9 @@
 // Figures take no notice of a move for about a report's age: no further move from the server until then.
 constexpr Micros kSettle = seconds(3);
 
-constexpr int kSampleSends = 4;                 // Probe a server after so many own sends there.
-constexpr Micros kSampleInterval = seconds(3);  // Sample held servers no more often than this.
+constexpr int kSampleSends = 4;                       // Probe a server after so many own sends there.
+constexpr Micros kSampleInterval = seconds(3);        // Sample held servers no more often than this.
+constexpr Micros kBlankInterval = milliseconds(500);  // Likewise while reports come back empty.
 constexpr double kSamplesPerRequest = 1.5;  // Budget of samples: keeps their price independent of fleet size.
 constexpr double kMinSampleRate = 0.2;  // A second: a gateway without arrivals still watches what it holds.
 constexpr Micros kTick = milliseconds(250);  // Period of sampling and of looking again for held requests.
@@ -140,6 +141,7 @@
   int placed_since = 0;  // Own sends since the figure was asked for.
   int sends_since_probe = 0;
   bool probe_out = false;
+  bool sampled = false;  // The probe out is a sample, paid from their budget.
   // Health, as seen by this gateway.
   int failures = 0;
   Micros avoid_until{0};
@@ -366,11 +368,17 @@
     if (i == kNone) return;
     Server& s = servers_[i];
     s.probe_out = false;
+    const bool sampled = std::exchange(s.sampled, false);
     if (e.ok) {
       if (s.failures > 0 && now_ >= s.avoid_until) s.failures = 0;
       if (const auto figure = FigureOf(i, e.report)) {
         TakeFigure(i, *figure);
         AddToPool(i);
+      } else if (sampled) {
+        // Right after a start servers have no report made yet. A budget spent on such answers would leave the
+        // gateway blind for seconds to what it holds on a sick server.
+        sample_allowance_ += 1;
+        if (!s.has_figure) s.figure_at = now_;
       }
     } else {
       NoteFailure(i);
@@ -430,10 +438,12 @@
       sample_cursor_ = (sample_cursor_ + 1) % eligible_.size();
       const int i = eligible_[sample_cursor_];
       Server& s = servers_[i];
-      if (s.held.empty() || (s.has_figure && now_ < s.figure_at + kSampleInterval)) continue;
+      const Micros interval = s.has_figure ? kSampleInterval : kBlankInterval;
+      if (s.held.empty() || (s.figure_at.count() > 0 && now_ < s.figure_at + interval)) continue;
       if (set_.reports == ReportMode::kOff) {
         TakeFigure(i, *FigureOf(i, std::nullopt));
       } else if (Probe(i)) {
+        s.sampled = true;
         sample_allowance_ -= 1;
         --this_tick;
       }
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -207,6 +207,21 @@
   EXPECT_LE(collect(h.Pass(Ms(60000))), 14U);
 }
 
+// Right after a start no server has a report made; samples of them once used up the budget for seconds.
+TEST(Probing, SamplesThatCameBackEmptyAreTakenAgain) {
+  Harness h;
+  h.List({Ready(1), Ready(2), Ready(3)});
+  for (std::uint64_t id = 1; id <= 3; ++id) h.Resume(id, id);
+  std::size_t late = 0;
+  for (int tick = 0; tick < 12; ++tick) {  // Three seconds, none with a figure.
+    const auto probes = Of<ProbeServer>(h.Pass(Ms(250)));
+    for (const ProbeServer& p : probes) h.Give(ProbeAnswered{p.server, true, std::nullopt});
+    if (tick >= 6) late += probes.size();
+  }
+  EXPECT_GE(late, 6U);   // All three are asked still, ...
+  EXPECT_LE(late, 12U);  // ... but not with every tick.
+}
+
 TEST(Probing, ProbesAfterSomeOwnSends) {
   Harness h;
   h.List({Ready(1)});
