SIGHUP takes up the replaced file: the watch moves to the new discovery at once

Cause: src/main.cpp had no handler for SIGHUP, whose default action ends the process. Now: the file is read again; its discovery goes before PROXY_DISCOVERY; the watch is made at the new address at once, without the old back-off, and the old list stays until that one speaks. A bad or half-written file is logged and counted and changes nothing; name, listen and settings are logged as taking a restart. A second reload to the same address leaves a standing watch alone; a drain goes on beside it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,7 +15,7 @@
 
 struct Signals {
   stoatrun::Relay& relay;
-  ev_signal term{}, interrupt{}, usr1{};
+  ev_signal term{}, interrupt{}, usr1{}, hangup{};
 
   Signals(stoatrun::Loop& loop, stoatrun::Relay& r) : relay(r) {
     const auto watch = [&](ev_signal& w, int number, void (*callback)(struct ev_loop*, ev_signal*, int)) {
@@ -26,6 +26,7 @@
     watch(term, SIGTERM, OnEnd);
     watch(interrupt, SIGINT, OnEnd);
     watch(usr1, SIGUSR1, OnPrint);
+    watch(hangup, SIGHUP, OnReload);
     // A peer that is gone is told by the write's result, not by the end of the process.
     std::signal(SIGPIPE, SIG_IGN);
   }
@@ -33,6 +34,14 @@
   static void OnEnd(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
     static_cast<Signals*>(w->data)->relay.Drain();
   }
+  static void OnReload(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
+    stoatrun::Relay& relay = static_cast<Signals*>(w->data)->relay;
+    try {
+      relay.Reload(stoatrun::LoadConfig(stoatrun::LoadAt::kReload));
+    } catch (const std::exception& e) {  // None may pass through the loop's C frames.
+      relay.ReloadFailed(e.what());
+    }
+  }
   static void OnPrint(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
     stoatrun::LogLine(stoatrun::Level::kInfo) << static_cast<Signals*>(w->data)->relay.Counts();
   }
@@ -44,13 +53,15 @@
   using stoatrun::Level;
   using stoatrun::LogLine;
   try {
+    // Its default action would end the relay that is asked to read its file again.
+    std::signal(SIGHUP, SIG_IGN);
     // Each client takes two descriptors; the shell's soft limit is often far under what is allowed.
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < files.rlim_max) {
       files.rlim_cur = files.rlim_max;
       setrlimit(RLIMIT_NOFILE, &files);
     }
-    const stoatrun::Config config = stoatrun::LoadConfig();
+    const stoatrun::Config config = stoatrun::LoadConfig(stoatrun::LoadAt::kStart);
     stoatrun::SetLogLevel(config.log_level);
     stoatrun::Loop loop;
     stoatrun::Relay relay(loop, config);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -40,8 +40,13 @@
   return AsUnsigned(*e, "seed");
 }
 
-Config Parse(std::string_view json, const std::optional<std::string>& name,
-             const std::optional<std::string>& listen, const std::optional<std::string>& discovery) {
+// The environment's values, where they go before the file's.
+struct Given {
+  std::optional<std::string> name, listen, discovery;
+  LoadAt when = LoadAt::kStart;
+};
+
+Config Parse(std::string_view json, const Given& env) {
   simdjson::dom::parser parser;
   element root;
   const auto error = parser.parse(simdjson::padded_string(json)).get(root);
@@ -57,13 +62,15 @@
       return std::string(AsText(*e, key));
     };
     Config c;
-    c.name = text("name", name);
-    c.listen = AddressOf("listen", text("listen", listen));
-    c.discovery_text = text("discovery", discovery);
+    c.name = text("name", env.name);
+    c.listen = AddressOf("listen", text("listen", env.listen));
+    const bool file_first = env.when == LoadAt::kReload && Get(o, "discovery");
+    c.discovery_text = text("discovery", file_first ? std::nullopt : env.discovery);
     c.discovery = AddressOf("discovery", c.discovery_text);
     const auto settings = Get(o, "settings");
     if (!settings) throw ConfigError("settings: missing");
     c.site = ReadSettings(*settings, ReadSeed(o));
+    c.settings_text = simdjson::minify(*settings);
     if (c.site.class_names.empty()) throw ConfigError("settings.classes: missing or empty");
     if (const auto known = Get(o, "known")) c.known = ReadHostList(*known);
     return c;
@@ -100,16 +107,17 @@
   return list;
 }
 
-Config ParseConfig(std::string_view json) { return Parse(json, {}, {}, {}); }
+Config ParseConfig(std::string_view json) { return Parse(json, {}); }
 
-Config LoadConfig() {
+Config LoadConfig(LoadAt when) {
   const auto path = Env("PROXY_CONFIG");
   if (!path) throw ConfigError("PROXY_CONFIG: not set; it names the configuration file");
   simdjson::padded_string text;
   if (const auto error = simdjson::padded_string::load(*path).get(text); error != simdjson::SUCCESS) {
     throw ConfigError(*path + ": " + simdjson::error_message(error));
   }
-  Config c = Parse(std::string_view(text), Env("PROXY_NAME"), Env("PROXY_LISTEN"), Env("PROXY_DISCOVERY"));
+  Config c =
+      Parse(std::string_view(text), {Env("PROXY_NAME"), Env("PROXY_LISTEN"), Env("PROXY_DISCOVERY"), when});
   if (const auto level = Env("STOATRUN_LOG")) {
     const auto named = LevelNamed(*level);
     if (!named) throw ConfigError("STOATRUN_LOG: expected debug, info, warn or error, got '" + *level + "'");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -28,13 +28,16 @@
   Level log_level = Level::kInfo;
   HostList known;
   arrowhatch::settings::SiteSettings site;
+  std::string settings_text;  // As the file has them, to tell at a reload whether they changed.
 };
 
 // Throws arrowhatch::settings::FormError. Entries without an id or an address are skipped.
 HostList ReadHostList(const simdjson::dom::element& e);
 
-// Throws ConfigError. The environment's values go before the file's.
-Config LoadConfig();
+// Throws ConfigError. At the start the environment's values go before the file's. At a reload the file's
+// `discovery` goes first: the environment still names the address of the start.
+enum class LoadAt { kStart, kReload };
+Config LoadConfig(LoadAt when);
 // The same from a text, without the environment.
 Config ParseConfig(std::string_view json);
 
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -12,7 +12,8 @@
              << " legs_turned_away=" << c.legs_turned_away << " legs_error=" << c.legs_error
              << " served=" << c.served << " host_moved=" << c.host_moved << " silent=" << c.silent
              << " probes=" << c.probes << " probes_failed=" << c.probes_failed << " lists=" << c.lists
-             << " watches_failed=" << c.watches_failed;
+             << " watches_failed=" << c.watches_failed << " reloads=" << c.reloads
+             << " reloads_failed=" << c.reloads_failed;
 }
 
 }  // namespace stoatrun
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -15,7 +15,7 @@
                 legs_error = 0;
   std::uint64_t served = 0, host_moved = 0, silent = 0;
   std::uint64_t probes = 0, probes_failed = 0;
-  std::uint64_t lists = 0, watches_failed = 0;
+  std::uint64_t lists = 0, watches_failed = 0, reloads = 0, reloads_failed = 0;
 };
 
 std::ostream& operator<<(std::ostream& out, const Counters& c);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -42,10 +42,32 @@
 }
 
 void Discovery::Watch() {
-  owes_answer_ = true;
+  watching_ = owes_answer_ = true;
   if (calls_.Find(call_) == nullptr && !retry_.IsSet()) Connect();
 }
 
+// What is owed to the module stays owed, and the list in force stays so until the new address speaks.
+void Discovery::MoveTo(const Address& address, std::string host) {
+  const bool same = host == host_;
+  if (same && calls_.Find(call_) != nullptr) return;  // A second reload must not cut what the first began.
+  address_ = address;
+  host_ = std::move(host);
+  // Another service counts its own revisions: only the whole list is sure to leave nothing out.
+  if (!same) revision_ = 0;
+  // The waits grew at the old address: they must not keep the relay from the new one.
+  backoff_ = kFirstRetry;
+  Drop();
+  if (watching_) Connect();
+}
+
+void Discovery::Drop() {
+  if (Call* call = calls_.Find(call_)) call->stream.Close();
+  calls_.Erase(call_);
+  call_ = {};
+  silence_.Cancel();
+  retry_.Cancel();
+}
+
 void Discovery::Connect() {
   Call& call = calls_.Add(*this);
   call_ = call.id;
@@ -82,10 +104,7 @@
 void Discovery::Fail(std::string_view why) {
   LogLine(Level::kInfo) << "watch failed: " << why << ", again in " << backoff_.count() / 1000 << " ms";
   ++counters_.watches_failed;
-  if (Call* call = calls_.Find(call_)) call->stream.Close();
-  calls_.Erase(call_);
-  call_ = {};
-  silence_.Cancel();
+  Drop();
   retry_.Set(loop_.Now() + backoff_);
   backoff_ = std::min(backoff_ * 2, kLastRetry);
   if (std::exchange(owes_answer_, false)) events_.OnWatchFailed();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -30,6 +30,8 @@
 
   // Keeps a watch from now on. Answered by one OnHosts or one OnWatchFailed.
   void Watch();
+  // Holds the watch at another address from now on.
+  void MoveTo(const Address& address, std::string host);
 
   void OnConnected(SlotId id) override;
   void OnBytes(SlotId id) override;
@@ -43,6 +45,7 @@
   };
 
   void Connect();
+  void Drop();
   void Fail(std::string_view why);
   void TakeBody(std::string_view body);
   bool TakeLine(std::string_view line);
@@ -60,7 +63,7 @@
   SlotId call_;
   Deadline retry_, silence_;
   Micros backoff_;
-  bool owes_answer_ = false, refused_ = false, ended_ = false;
+  bool watching_ = false, owes_answer_ = false, refused_ = false, ended_ = false;
   std::string line_;  // Of the body, not yet whole.
   http_parser parser_{};
   http_parser_settings parser_settings_{};
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -55,9 +55,8 @@
 
 Relay::Relay(Loop& loop, const Config& config)
     : loop_(loop),
-      site_(config.site),
-      listen_(config.listen),
-      known_(config.known),
+      start_(config),
+      site_(start_.site),
       zones_(config.site.zone_names),
       slow_message_(ShortestAim(config.site.module) / 3),
       balancer_(config.site.module),
@@ -72,8 +71,25 @@
 }
 
 void Relay::Start() {
-  acquirer_.Listen(listen_);
-  TakeList(known_, ListSource::kKnown);
+  acquirer_.Listen(start_.listen);
+  TakeList(start_.known, ListSource::kKnown);
+}
+
+void Relay::Reload(const Config& config) {
+  ++counters_.reloads;
+  LogLine(Level::kInfo) << "reload discovery=" << config.discovery_text;
+  const auto keeps = [](bool same, std::string_view what) {
+    if (!same) LogLine(Level::kWarn) << "reload: " << what << " changed, which takes a restart";
+  };
+  keeps(config.name == start_.name, "name");
+  keeps(config.listen == start_.listen, "listen");
+  keeps(config.settings_text == start_.settings_text, "settings");
+  discovery_.MoveTo(config.discovery, config.discovery_text);
+}
+
+void Relay::ReloadFailed(std::string_view why) {
+  ++counters_.reloads_failed;
+  LogLine(Level::kError) << "reload failed, the old configuration stays: " << why;
 }
 
 // ---- between the module and the sockets ----
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -29,6 +29,9 @@
   void Start();  // Throws std::system_error if the address can't be had.
   // A planned end: still takes and answers for a while, then moves all standing clients and stops the loop.
   void Drain();
+  // Takes up a replaced configuration: moves the watch. What else changed is logged and waits for a restart.
+  void Reload(const Config& config);
+  void ReloadFailed(std::string_view why);  // What is in force stays so.
   int Port() const { return acquirer_.Port(); }
   const Counters& Counts() const { return counters_; }
 
@@ -103,9 +106,8 @@
   std::size_t ClassIndex(std::string_view name) const;
 
   Loop& loop_;
-  const arrowhatch::settings::SiteSettings site_;
-  const Address listen_;
-  const HostList known_;
+  const Config start_;  // As the relay was started.
+  const arrowhatch::settings::SiteSettings& site_;
   std::vector<std::string> zones_;
   Micros slow_message_{0};  // A message over this is told; 0: never.
   Counters counters_;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -21,6 +21,9 @@
 struct Address {
   sockaddr_in raw{};
   static std::optional<Address> Parse(std::string_view text);
+  bool operator==(const Address& o) const {
+    return raw.sin_addr.s_addr == o.raw.sin_addr.s_addr && raw.sin_port == o.raw.sin_port;
+  }
 };
 
 enum class StreamEnd { kFinished, kReset };  // An orderly end of the peer's sending, or a break.
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -306,5 +306,34 @@
   Play(kStand);
 }
 
+// The old address closes its watches soon after: to wait for that, or for a back-off grown there, would leave
+// the relay deaf for seconds. Another service counts its own revisions, so the whole list is asked for.
+TEST_CASE_METHOD(Alone, "a reload moves the watch at once and the old list stays until the new one speaks") {
+  Play("discovery send {\"revision\":41,\"members\":[]}");
+  SECTION("from a watch that stands") { Play("reload discovery2\ndiscovery expect-end"); }
+  SECTION("from a back-off") {
+    Play("discovery refuse\ndiscovery close\nwait 600\nreload discovery2\ndiscovery serve");
+  }
+  Play("discovery2 watches 1\ndiscovery2 asked after=0 ");
+  Play(kStand);
+  Play(R"(
+    discovery2 send {"revision":1,"complete":true,"members":[]}
+    b send OPEN 2 k c=watch,d=300
+    wait 300
+    b expect BUSY*
+    a send M 1 x
+    s-1 expect M 1 x
+  )");
+  CHECK(Counts().reloads == 1);
+}
+
+TEST_CASE_METHOD(Alone, "a reload that changes nothing does not cut the watch, and one may follow another") {
+  Play(
+      "discovery watches 1\nreload discovery\nreload discovery2\nreload discovery2\ndrain\nreload discovery");
+  Play("discovery watches 2\ndiscovery2 expect-end");
+  CHECK(Counts().reloads == 4);
+  CHECK(Counts().watches_failed == 0);
+}
+
 }  // namespace
 }  // namespace stoatrun
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -82,25 +82,28 @@
 
 World::World(const std::vector<std::string>& hosts) {
   SetLogLevel(Level::kError);
-  Listen(discovery_);
+  for (const char* name : {"discovery", "discovery2"}) Listen(discoveries_[name]);
+  for (const std::string& id : hosts) Listen(hosts_[id]);
+  relay_ = std::make_unique<Relay>(loop_, ConfigWith(discoveries_["discovery"]));
+  relay_->Start();
+}
+
+Config World::ConfigWith(const Server& discovery) const {
   std::string members;
-  for (const std::string& id : hosts) {
-    Listen(hosts_[id]);
+  for (const auto& [id, host] : hosts_) {
     members += (members.empty() ? "" : ",") + std::string(R"({"id":")") + id +
-               R"(","host_port":"127.0.0.1:)" + std::to_string(hosts_[id].port) +
+               R"(","host_port":"127.0.0.1:)" + std::to_string(host.port) +
                R"(","locality":"z","phase":"ready","later_field":[1]})";
   }
-  const Config config = ParseConfig(R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
-                                    std::to_string(discovery_.port) +
-                                    R"(","seed":"7","known":{"revision":1,"complete":true,"members":[)" +
-                                    members + R"(]},"settings":)" + std::string(kSettings) + "}");
-  relay_ = std::make_unique<Relay>(loop_, config);
-  relay_->Start();
+  return ParseConfig(R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
+                     std::to_string(discovery.port) +
+                     R"(","seed":"7","known":{"revision":1,"complete":true,"members":[)" + members +
+                     R"(]},"settings":)" + std::string(kSettings) + "}");
 }
 
 World::~World() {
   for (auto& [name, peer] : clients_) peer->Close(false);
-  hosts_["discovery"] = std::move(discovery_);
+  hosts_.merge(discoveries_);
   for (auto& [name, host] : hosts_) {
     if (host.fd >= 0) close(host.fd);
     for (const int fd : host.waiting) close(fd);
@@ -129,12 +132,12 @@
   std::erase(host.fresh, nullptr);
 }
 
-void World::ServeDiscovery() {
-  for (int fd = 0; (fd = accept(discovery_.fd, nullptr, nullptr)) >= 0;) {
-    discovery_.fresh.push_back(std::make_unique<Peer>());
-    discovery_.fresh.back()->fd = NonBlocking(fd);
+void World::ServeDiscovery(Server& discovery) {
+  for (int fd = 0; (fd = accept(discovery.fd, nullptr, nullptr)) >= 0;) {
+    discovery.fresh.push_back(std::make_unique<Peer>());
+    discovery.fresh.back()->fd = NonBlocking(fd);
   }
-  for (auto& peer : discovery_.fresh) {
+  for (auto& peer : discovery.fresh) {
     peer->Read();
     if (peer->in.find("\r\n\r\n") == std::string::npos) continue;
     if (discovery_refuses_) {
@@ -142,15 +145,15 @@
     } else {
       peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
-    discovery_.legs.push_back(std::move(peer));
+    discovery.legs.push_back(std::move(peer));
   }
-  std::erase(discovery_.fresh, nullptr);
+  std::erase(discovery.fresh, nullptr);
 }
 
 void World::Turn() {
   loop_.Poll();
   for (auto& [id, host] : hosts_) Serve(host);
-  ServeDiscovery();
+  for (auto& [name, discovery] : discoveries_) ServeDiscovery(discovery);
 }
 
 template <typename F>
@@ -228,18 +231,29 @@
     for (const int fd : taken) close(fd);
   } else if (who == "stopped") {
     REQUIRE(Until([&] { return loop_.Stopped(); }));
-  } else if (who == "discovery") {
+  } else if (who == "reload") {
+    relay_->Reload(ConfigWith(discoveries_.at(verb)));
+    for (int k = 0; k < 5; ++k) Turn();
+  } else if (const auto at = discoveries_.find(who); at != discoveries_.end()) {
+    Server& discovery = at->second;
     if (verb == "refuse" || verb == "serve") {
       discovery_refuses_ = verb == "refuse";
     } else {
-      REQUIRE(Until([&] { return !discovery_.legs.empty(); }));
-      Peer& watch = *discovery_.legs.back();
+      REQUIRE(Until([&] { return !discovery.legs.empty(); }));
+      Peer& watch = *discovery.legs.back();
       if (verb == "send") {
         std::ostringstream chunk;
         chunk << std::hex << text.size() + 1 << "\r\n" << text << "\n\r\n";
         watch.Send(chunk.str());
       } else if (verb == "watches") {
-        REQUIRE(Until([&] { return discovery_.legs.size() >= std::stoul(text); }));
+        REQUIRE(Until([&] { return discovery.legs.size() >= std::stoul(text); }));
+      } else if (verb == "asked") {
+        REQUIRE(watch.in.find(text) != std::string::npos);
+      } else if (verb == "expect-end") {
+        REQUIRE(Until([&] {
+          watch.Read();
+          return watch.ended;
+        }));
       } else {
         REQUIRE(verb == "close");
         watch.Close(false);
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -7,6 +7,8 @@
 //   leg at host s-1 (s-1#2: the second); `s-1 legs N` counts them s-1 down | up | full   refuses connections;
 //   takes them again; lets them wait unanswered discovery send JSON | close | refuse | serve   a line of the
 //   watch; ends it; answers 503; serves again wait MS | drain | stopped
+//   reload discovery2  takes up a configuration that names it; `discovery2 asked TEXT`, `discovery2
+//   expect-end`
 #ifndef STOATRUN_TESTS_NET_WORLD_H_
 #define STOATRUN_TESTS_NET_WORLD_H_
 
@@ -52,7 +54,8 @@
   void Step(const std::string& line);
   void Turn();
   void Serve(Server& host);
-  void ServeDiscovery();
+  void ServeDiscovery(Server& discovery);
+  Config ConfigWith(const Server& discovery) const;  // Which is all that a reload changes.
   Peer& PeerOf(const std::string& who, const std::string& step);
   void Expect(Peer& peer, const std::string& text, const std::string& step);
   template <typename F>
@@ -62,7 +65,7 @@
 
   Loop loop_{Clock::Mode::kManual};
   std::map<std::string, Server> hosts_;
-  Server discovery_;
+  std::map<std::string, Server> discoveries_;  // discovery, and discovery2 that a reload may name.
   bool discovery_refuses_ = false;
   std::string flood_;
   std::map<std::string, std::unique_ptr<Peer>> clients_;
