Bad clients: strict first lines, bounded callers, 2 s for a first line, answers that arrive

Now: 2 s for a first line, which only PING extends; callers and answered ones are bounded by the descriptors that clients, legs, probes and discovery leave (limits.sockets or the system's limit), answered and oldest out first, after a last look at the socket; BUSY where no two descriptors are left; ids of open connections, a second OPEN before the answer and fields that are not of their form get ERR; what an answered client still sends is dropped uncopied within bounds so that no reset overtakes the answer; log lines are limited; a drain waits for nobody who has said nothing of use for 250 ms; buffers are taken at the first byte.

--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <string>
@@ -15,8 +16,17 @@
 namespace stoatrun {
 namespace {
 
-constexpr Micros kHeadWait = std::chrono::seconds(10);  // For a first line; the front pings far more often.
-constexpr Micros kEndWait = std::chrono::milliseconds(800);  // For the client's end after ours.
+// A caller without a first line is owed an answer within 3 s of connecting.
+constexpr Micros kHeadWait = std::chrono::milliseconds(2000);
+// For the client's end after ours; longer while it still sends, for a close on unread bytes is a reset, which
+// may overtake the answer.
+constexpr Micros kEndWait = std::chrono::milliseconds(800);
+constexpr Micros kDropWait = std::chrono::milliseconds(2400);
+constexpr std::size_t kDropMost = std::size_t{96} * 1024 * 1024;
+// Descriptors for what is neither client nor leg: listener, loop, log, discovery, and a probe to each host.
+constexpr std::size_t kReserve = 48;
+constexpr std::size_t kLeastCallers = 16;  // So many may always be heard, however many clients stand.
+constexpr Micros kMayAsk = std::chrono::milliseconds(250);  // A first line comes with its connection.
 constexpr int kAcceptsATurn = 64;
 constexpr std::string_view kFailureLine = "ERR\r\n", kBusyLine = "BUSY\r\n";
 
@@ -27,12 +37,20 @@
   return text;
 }
 
+// A client waits after its first line. One that sends another before it is answered would have its second
+// request read as lines of the first.
+bool AsksAgain(std::string_view behind) { return behind.starts_with("OPEN "); }
+
 int OpenSpare() { return open("/dev/null", O_RDONLY | O_CLOEXEC); }
 
 }  // namespace
 
-Acquirer::Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters)
-    : loop_(loop), events_(events), counters_(counters), spare_fd_(OpenSpare()) {
+Acquirer::Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors)
+    : loop_(loop),
+      events_(events),
+      counters_(counters),
+      spare_fd_(OpenSpare()),
+      descriptors_(std::max(descriptors, kReserve + 2 * kLeastCallers)) {
   ev_init(&accept_, OnAccept);
   accept_.data = this;
   loop_.AddSweeper([this] { clients_.Sweep(); });
@@ -89,11 +107,48 @@
     }
     ++counters_.accepted;
     Client& c = clients_.Add(*this);
+    c.place = callers_.insert(callers_.end(), c.id);
+    c.since = loop_.Now();
     c.deadline.Set(loop_.Now() + kHeadWait);
     c.stream.Adopt(fd);
+    MakeRoom();
+  }
+}
+
+// Of the clients that were opened each needs two descriptors, for itself and its leg.
+bool Acquirer::TakesAnother() const {
+  const std::size_t opened = clients_.Size() - callers_.size() - ending_.size();
+  return 2 * (opened + 1) + kReserve + kLeastCallers <= descriptors_;
+}
+
+// Hundreds that connect and say nothing must not take the descriptors that clients, legs, probes and
+// discovery need. First go those that have their answer, then the oldest without a first line.
+void Acquirer::MakeRoom() {
+  const std::size_t opened = clients_.Size() - callers_.size() - ending_.size();
+  const std::size_t room =
+      std::max(kLeastCallers, descriptors_ - std::min(descriptors_, 2 * opened + kReserve));
+  while (callers_.size() + ending_.size() > room) {
+    const SlotId id = ending_.empty() ? callers_.front() : ending_.front();
+    Client* c = clients_.Find(id);
+    if (c->state == Client::State::kHead) {
+      c->stream.ReadNow();  // Its line may be there, though the loop has not told of it yet.
+      c = clients_.Find(id);
+      if (c == nullptr || c->state != Client::State::kHead) continue;
+      ++counters_.crowded_out;
+      c->stream.Write({kFailureLine});
+    }
+    c->stream.Close();
+    Erase(*c);
   }
 }
 
+void Acquirer::Erase(Client& c) {
+  if (c.state == Client::State::kHead) callers_.erase(c.place);
+  if (c.state == Client::State::kEnding) ending_.erase(c.place);
+  c.deadline.Cancel();
+  clients_.Erase(c.id);
+}
+
 // Without a descriptor the queue would stay ready and spin the loop, and who waits in it would get no answer.
 // The spare descriptor takes one caller at a time and tells it to come again.
 bool Acquirer::TurnAway() {
@@ -105,18 +160,21 @@
     const bool told = write(surplus, kBusyLine.data(), kBusyLine.size()) > 0;
     shutdown(surplus, SHUT_WR);
     const bool asked = read(surplus, unread.data(), unread.size()) > 0;
-    LogLine(Level::kWarn) << "turned away without a descriptor, asked=" << asked << " told=" << told;
+    if (wants_.Allows(loop_.Now())) {
+      LogLine(Level::kWarn) << "turned away without a descriptor, asked=" << asked << " told=" << told
+                            << " left_out=" << wants_.TakeLeftOut();
+    }
     close(surplus);
   }
   spare_fd_ = OpenSpare();
   return surplus >= 0;
 }
 
-std::size_t Acquirer::Asking() {
-  std::size_t asking = 0;
-  clients_.ForEach(
-      [&](const Client& c) { asking += c.state != Client::State::kHead || !c.stream.In().empty() ? 1 : 0; });
-  return asking;
+bool Acquirer::Asking() {
+  const auto lately = [this](const std::list<SlotId>& all) {
+    return !all.empty() && loop_.Now() < clients_.Find(all.back())->since + kMayAsk;
+  };
+  return clients_.Size() > callers_.size() + ending_.size() || lately(callers_) || lately(ending_);
 }
 
 Stream* Acquirer::Find(SlotId client) {
@@ -136,11 +194,17 @@
   Client* c = clients_.Find(client);
   if (c == nullptr || c->state == Client::State::kEnding) return;
   // Closing at once would answer bytes on their way with a reset, which may overtake the last line.
+  if (c->state == Client::State::kHead) callers_.erase(c->place);
   c->state = Client::State::kEnding;
+  c->place = ending_.insert(ending_.end(), c->id);
+  c->since = loop_.Now();
   if (!last_line.empty()) c->stream.Write({last_line});
   c->stream.Finish();
-  c->stream.Consume(c->stream.In().size());
-  c->stream.SetReading(true);
+  if (c->stream.PeerEnded() && c->stream.Queued() == 0) {  // Nothing is left to wait for.
+    c->stream.Close();
+    return Erase(*c);
+  }
+  c->stream.Drop();
   c->deadline.Set(loop_.Now() + kEndWait);
 }
 
@@ -148,8 +212,7 @@
   Client* c = clients_.Find(client);
   if (c == nullptr) return;
   c->stream.Reset();
-  c->deadline.Cancel();
-  clients_.Erase(client);
+  Erase(*c);
 }
 
 void Acquirer::Due(SlotId id) {
@@ -160,12 +223,15 @@
     return;
   }
   c->stream.Close();
-  clients_.Erase(id);
+  Erase(*c);
 }
 
 void Acquirer::Malformed(Client& c, std::string_view why) {
   ++counters_.malformed;
-  LogLine(Level::kInfo) << "bad first line: " << why << ": '" << Shown(c.stream.In()) << "'";
+  if (bad_lines_.Allows(loop_.Now())) {
+    LogLine(Level::kInfo) << "bad first line: " << why << ": '" << Shown(c.stream.In())
+                          << "' left_out=" << bad_lines_.TakeLeftOut();
+  }
   End(c.id, kFailureLine);
 }
 
@@ -181,6 +247,7 @@
     const std::string_view line = Stripped(in.substr(0, *size));
     if (line == "PING") {
       ++counters_.pings;
+      if (c.stream.Queued() > Stream::kHighWater) return Malformed(c, "reads no answers");
       c.stream.Write({"PONG\r\n"});
       c.stream.Consume(*size);
       c.deadline.Set(loop_.Now() + kHeadWait);
@@ -188,11 +255,23 @@
     }
     const auto head = ParseOpen(line);
     if (!head) return Malformed(c, "not of the form");
-    if (!events_.TakesClass(head->class_name)) return Malformed(c, "unknown class");
+    if (AsksAgain(in.substr(*size))) return Malformed(c, "more than one");
+    if (const auto objection = events_.Objection(*head); !objection.empty()) return Malformed(c, objection);
+    if (!TakesAnother()) {
+      ++counters_.no_room;
+      if (wants_.Allows(loop_.Now())) {
+        LogLine(Level::kWarn) << "no descriptors for another client, left_out=" << wants_.TakeLeftOut();
+      }
+      return End(c.id, kBusyLine);
+    }
+    callers_.erase(c.place);
     c.state = Client::State::kOpened;
     c.head_size = *size;
     c.deadline.Cancel();
-    c.owner = events_.OnOpen(c.id, *head);
+    const SlotId id = c.id;
+    const SlotId owner = events_.OnOpen(id, *head);
+    if (Client* opened = clients_.Find(id)) opened->owner = owner;
+    MakeRoom();
     return;
   }
 }
@@ -203,12 +282,23 @@
   if (c->state == Client::State::kHead) {
     ReadHead(*c);
   } else if (c->state == Client::State::kOpened) {
+    if (c->head_size > 0 && AsksAgain(c->stream.In().substr(c->head_size))) {
+      ++counters_.malformed;
+      events_.OnClientEnd(c->owner, StreamEnd::kFinished);
+      return;
+    }
     events_.OnClientBytes(c->owner);
-  } else {
-    c->stream.Consume(c->stream.In().size());
   }
 }
 
+void Acquirer::OnDropped(SlotId id, std::size_t size) {
+  Client* c = clients_.Find(id);
+  if (c == nullptr) return;
+  c->dropped += size;
+  if (c->dropped > kDropMost) return c->stream.SetReading(false);
+  c->deadline.Set(std::min(c->since + kDropWait, loop_.Now() + kEndWait));
+}
+
 void Acquirer::OnEnd(SlotId id, StreamEnd end) {
   Client* c = clients_.Find(id);
   if (c == nullptr) return;
@@ -222,8 +312,7 @@
   }
   if (c->state == Client::State::kEnding && end == StreamEnd::kFinished && c->stream.Queued() > 0) return;
   c->stream.Close();
-  c->deadline.Cancel();
-  clients_.Erase(id);
+  Erase(*c);
 }
 
 void Acquirer::OnRoom(SlotId id) {
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -5,11 +5,13 @@
 #include <ev.h>
 
 #include <cstddef>
+#include <list>
 #include <string_view>
 
 #include "net/counters.h"
 #include "net/deadlines.h"
 #include "net/line.h"
+#include "net/log.h"
 #include "net/slots.h"
 #include "net/stream.h"
 
@@ -18,7 +20,8 @@
 class AcquirerEvents {
  public:
   virtual ~AcquirerEvents() = default;
-  virtual bool TakesClass(std::string_view name) = 0;
+  // Why a first line of the right form is no request here; empty: it is one.
+  virtual std::string_view Objection(const OpenHead& head) = 0;
   // Gives the number by which the client's further events name it. The head's views are good until Up or End.
   virtual SlotId OnOpen(SlotId client, const OpenHead& head) = 0;
   // Of a client that was opened: bytes or the end of its sending, and room for more.
@@ -29,7 +32,8 @@
 
 class Acquirer : public StreamHandler {
  public:
-  Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters);
+  // `descriptors`: what the whole relay may hold.
+  Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors);
   ~Acquirer() override;
   Acquirer(const Acquirer&) = delete;
   Acquirer& operator=(const Acquirer&) = delete;
@@ -44,9 +48,12 @@
   // Sends a last line (or none) and ends the connection in order.
   void End(SlotId client, std::string_view last_line);
   void Reset(SlotId client);
-  std::size_t Asking();  // Connections with anything begun on them.
+  // Is anyone there that may yet ask, or still reads its answer? Callers that have said nothing of use for a
+  // while and those that do not end are not waited for.
+  bool Asking();
 
   void OnBytes(SlotId id) override;
+  void OnDropped(SlotId id, std::size_t size) override;
   void OnEnd(SlotId id, StreamEnd end) override;
   void OnRoom(SlotId id) override;
 
@@ -61,7 +68,9 @@
     Stream stream;
     Deadline deadline;
     State state = State::kHead;
-    std::size_t head_size = 0;
+    std::list<SlotId>::iterator place{};  // Among the callers or the ending.
+    Micros since{0};                      // Accepted, or ended by us.
+    std::size_t head_size = 0, dropped = 0;
   };
 
   static void OnAccept(struct ev_loop* loop, ev_io* w, int events);
@@ -70,6 +79,9 @@
   void Due(SlotId id);
   void ReadHead(Client& c);
   void Malformed(Client& c, std::string_view why);
+  bool TakesAnother() const;  // Are there descriptors for one more client and its leg?
+  void MakeRoom();
+  void Erase(Client& c);
 
   Loop& loop_;
   AcquirerEvents& events_;
@@ -77,7 +89,10 @@
   ev_io accept_{};
   int fd_ = -1;
   int spare_fd_ = -1;
+  const std::size_t descriptors_;
   Slots<Client> clients_;
+  std::list<SlotId> callers_, ending_;  // Without a first line, and answered; oldest first.
+  LogLimit bad_lines_, wants_;
 };
 
 }  // namespace stoatrun
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,6 @@
 #include "net/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <cstdlib>
@@ -72,6 +73,7 @@
     c.site = ReadSettings(*settings, ReadSeed(o));
     c.settings_text = simdjson::minify(*settings);
     if (c.site.class_names.empty()) throw ConfigError("settings.classes: missing or empty");
+    c.sockets = static_cast<std::size_t>(std::max(0.0, NumberOr(GetObject(o, "limits"), "sockets", 0)));
     if (const auto known = Get(o, "known")) c.known = ReadHostList(*known);
     return c;
   } catch (const FormError& e) {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -4,6 +4,7 @@
 
 #include <simdjson.h>
 
+#include <cstddef>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -28,6 +29,7 @@
   Level log_level = Level::kInfo;
   HostList known;
   arrowhatch::settings::SiteSettings site;
+  std::size_t sockets = 0;    // Descriptors it may hold, by `limits.sockets`; 0: not told.
   std::string settings_text;  // As the file has them, to tell at a reload whether they changed.
 };
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -8,7 +8,7 @@
 namespace stoatrun {
 
 struct Counters {
-  std::uint64_t accepted = 0, accept_failed = 0, pings = 0, malformed = 0;
+  std::uint64_t accepted = 0, accept_failed = 0, pings = 0, malformed = 0, crowded_out = 0, no_room = 0;
   std::uint64_t authorisations = 0, resumed = 0, client_left = 0;
   std::uint64_t up = 0, declined = 0, failed = 0, moved = 0;
   std::uint64_t legs = 0, legs_not_connected = 0, legs_cut = 0, legs_timed_out = 0, legs_turned_away = 0,
--- a/src/net/line.cpp
+++ b/src/net/line.cpp
@@ -1,6 +1,7 @@
 #include "net/line.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -8,7 +9,9 @@
 namespace {
 
 constexpr double kMaxWaitMs =
-    8.64e7;  // A day. A longer wait is cut to it: more would only overflow sums of time.
+    8.64e7;  // A day. Nobody waits longer; connections from before ask for 71 minutes.
+constexpr std::size_t kMaxName = 128;
+constexpr std::array<std::string_view, 8> kFields{"c", "t", "d", "g", "r", "again", "at", "h"};
 
 // Visible ASCII alone: what else comes is not of this protocol and must not reach an issuer host.
 bool Plain(std::string_view line) {
@@ -18,6 +21,14 @@
   return true;
 }
 
+bool IsName(std::string_view text) {
+  const auto of_name = [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
+           c == '_' || c == '.' || c == ':' || c == '/';
+  };
+  return !text.empty() && text.size() <= kMaxName && std::all_of(text.begin(), text.end(), of_name);
+}
+
 template <typename T>
 std::optional<T> Number(std::string_view text) {
   T value{};
@@ -52,6 +63,14 @@
   return value && std::isfinite(*value) ? value : std::nullopt;
 }
 
+std::optional<double> Amount(std::string_view text) {
+  if (text.empty() || text.front() == '.' || text.back() == '.' ||
+      text.find_first_not_of("0123456789.") != std::string_view::npos) {
+    return std::nullopt;
+  }
+  return Decimal(text);
+}
+
 std::optional<std::uint64_t> Whole(std::string_view text) { return Number<std::uint64_t>(text); }
 
 std::optional<OpenHead> ParseOpen(std::string_view line) {
@@ -59,32 +78,43 @@
   const auto [verb, rest] = SplitWord(line);
   const auto [id, after_id] = SplitWord(rest);
   const auto [key, fields] = SplitWord(after_id);
-  if (verb != "OPEN" || id.empty() || key.empty() || fields.empty()) return std::nullopt;
+  if (verb != "OPEN" || !IsName(id) || key.empty() || key.find_first_of("=,") != std::string_view::npos) {
+    return std::nullopt;
+  }
   OpenHead head;
   head.id = id;
   head.key = key;
+  std::array<bool, kFields.size()> seen{};
   bool waits = false;
-  for (std::string_view left = fields; !left.empty();) {
-    const std::size_t comma = left.find(',');
-    const std::string_view field = left.substr(0, comma);
-    left = comma == std::string_view::npos ? std::string_view() : left.substr(comma + 1);
+  for (std::size_t begin = 0; begin <= fields.size();) {
+    const std::size_t end = std::min(fields.find(',', begin), fields.size());
+    const std::string_view field = fields.substr(begin, end - begin);
+    begin = end + 1;
     const std::size_t equals = field.find('=');
-    if (equals == std::string_view::npos) continue;  // Not a field known here.
+    if (equals == 0 || equals == std::string_view::npos || field.find(' ') != std::string_view::npos) {
+      return std::nullopt;
+    }
     const std::string_view name = field.substr(0, equals), value = field.substr(equals + 1);
+    const auto known =
+        static_cast<std::size_t>(std::find(kFields.begin(), kFields.end(), name) - kFields.begin());
+    if (known == kFields.size()) continue;
+    // Which of two values a host would heed is not known here, and an empty one says nothing.
+    if (value.empty() || std::exchange(seen[known], true)) return std::nullopt;
     if (name == "c") {
       head.class_name = value;
     } else if (name == "d") {
-      const auto wait = Decimal(value);
-      if (!wait || *wait < 0 || waits) return std::nullopt;
+      const auto wait = Amount(value);
+      if (!wait || *wait > kMaxWaitMs) return std::nullopt;
       waits = true;
-      head.wait_ms = static_cast<std::int64_t>(std::min(*wait, kMaxWaitMs));
-      const auto begin = static_cast<std::size_t>(value.data() - line.data());
-      head.before_wait = line.substr(0, begin);
-      head.after_wait = line.substr(begin + value.size());
+      head.wait_ms = static_cast<std::int64_t>(*wait);
+      const auto at = static_cast<std::size_t>(value.data() - line.data());
+      head.before_wait = line.substr(0, at);
+      head.after_wait = line.substr(at + value.size());
     } else if (name == "at") {
       head.at = value;
     } else if (name == "h") {
-      head.load = Decimal(value);
+      head.load = Amount(value);
+      if (!head.load) return std::nullopt;
     } else if (name == "again") {
       head.again = value == "1";
     }
--- a/src/net/line.h
+++ b/src/net/line.h
@@ -20,6 +20,8 @@
 // The first word of a line, and what follows it.
 std::pair<std::string_view, std::string_view> SplitWord(std::string_view line);
 std::optional<double> Decimal(std::string_view text);
+// Digits, and perhaps a point and digits: no sign, exponent, hex or name, as callers write amounts.
+std::optional<double> Amount(std::string_view text);
 std::optional<std::uint64_t> Whole(std::string_view text);
 
 // OPEN ID KEY NAME=VALUE,... The views point into the line parsed, which must outlive them.
@@ -31,6 +33,7 @@
   // The line without its end, cut around the value of `d`: the deadline is all that a relay writes anew.
   std::string_view before_wait, after_wait;
 };
+// Takes fields of later protocols; nothing where a known one is empty, named twice or not of its form.
 std::optional<OpenHead> ParseOpen(std::string_view line);
 
 // `inflight=7,queue=2`: calls `each(name, value)` for what is a number and skips the rest.
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -33,4 +33,19 @@
             << '\n';
 }
 
+bool LogLimit::Allows(Micros now) {
+  if (now >= from_ + std::chrono::seconds(1)) {
+    from_ = now;
+    written_ = 0;
+  }
+  if (written_ < kASecond) {
+    ++written_;
+    return true;
+  }
+  ++left_out_;
+  return false;
+}
+
+std::uint64_t LogLimit::TakeLeftOut() { return std::exchange(left_out_, 0); }
+
 }  // namespace stoatrun
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -1,5 +1,7 @@
 #include "net/relay.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -32,6 +34,8 @@
 constexpr Micros kAfterDeadline = milliseconds(600);  // SIGKILL may come 0.7 s after the longest deadline.
 constexpr Micros kLeastDeadline = seconds(3);
 
+constexpr std::size_t kUsualDescriptors = 1024;  // Where neither the configuration nor the system tells.
+
 constexpr std::string_view kErrorLine = "ERR\r\n", kMoveLine = "MOVE\r\n";
 
 Micros ShortestAim(const arrowhatch::Settings& s) {
@@ -51,6 +55,13 @@
   return times;
 }
 
+std::size_t DescriptorsOf(const Config& config) {
+  rlimit files{};
+  std::size_t most = getrlimit(RLIMIT_NOFILE, &files) == 0 ? files.rlim_cur : kUsualDescriptors;
+  if (config.sockets > 0) most = std::min(most, config.sockets);
+  return most;
+}
+
 }  // namespace
 
 Relay::Relay(Loop& loop, const Config& config)
@@ -60,7 +71,7 @@
       zones_(config.site.zone_names),
       slow_message_(ShortestAim(config.site.module) / 3),
       balancer_(config.site.module),
-      acquirer_(loop, *this, counters_),
+      acquirer_(loop, *this, counters_, DescriptorsOf(config)),
       issuer_(loop, *this, counters_, TimesOf(config.site)),
       discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision),
       drain_(loop.deadlines, [this] { DrainStep(); }) {
@@ -140,8 +151,13 @@
     Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, true, {}));
   }
   acquirer_.End(a->client, line);
-  a->deadline.Cancel();
-  authorisations_.Erase(authorisation);
+  Forget(*a);
+}
+
+void Relay::Forget(Authorisation& a) {
+  a.deadline.Cancel();
+  open_ids_.erase(a.open_id);
+  authorisations_.Erase(a.id);
 }
 
 void Relay::Decline(SlotId authorisation, Micros come_back) {
@@ -193,12 +209,19 @@
   return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-bool Relay::TakesClass(std::string_view name) { return ClassIndex(name) < site_.class_names.size(); }
+std::string_view Relay::Objection(const OpenHead& head) {
+  if (ClassIndex(head.class_name) >= site_.class_names.size()) return "unknown class";
+  // Ids are new for every connection. A second one under an id that is open would be told apart by no host.
+  if (open_ids_.contains(std::string(head.id))) return "id of an open one";
+  return {};
+}
 
 SlotId Relay::OnOpen(SlotId client, const OpenHead& head) {
   Authorisation& a = authorisations_.Add(*this);
   const SlotId id = a.id;
   a.client = client;
+  a.open_id = head.id;
+  open_ids_.insert(a.open_id);
   a.before_wait = head.before_wait;
   a.after_wait = head.after_wait;
   a.opening.class_index = ClassIndex(head.class_name);
@@ -286,7 +309,7 @@
     } else {
       acquirer_.Reset(client);
     }
-    authorisations_.Erase(owner);
+    Forget(*a);
     if (resumed) return;
     Tell(Left(owner));
     if (leg) Tell(LegEnded(owner, host, LegEnd::kAbandoned, true, {}));
@@ -314,8 +337,7 @@
   const SlotId owner = a.id;
   acquirer_.End(a.client, last_line);
   issuer_.Close(a.leg);
-  a.deadline.Cancel();
-  authorisations_.Erase(owner);
+  Forget(a);
   Tell(LegEnded(owner, a.host, end, true, {}));
 }
 
@@ -485,7 +507,7 @@
   standing.resize((standing.size() + steps - 1) / steps);
   for (const SlotId id : standing) Move(id);
   const Micros longest = std::max(site_.longest_deadline, kLeastDeadline);
-  const bool done = authorisations_.Size() == 0 && acquirer_.Asking() == 0;
+  const bool done = authorisations_.Size() == 0 && !acquirer_.Asking();
   if (done || loop_.Now() >= drain_at_ + longest + kAfterDeadline) {
     LogLine(Level::kInfo) << "drained, left=" << authorisations_.Size();
     loop_.Stop();
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "arrowhatch/balancer.h"
@@ -46,6 +47,7 @@
     HostNumber host = 0;
     Opening opening;
     std::string_view before_wait, after_wait;  // Of the client's line, there until the leg is up.
+    std::string open_id;                       // As its client named it.
     std::string resume_at;                     // The host that holds the connection already.
     Micros resume_until{0};
     std::uint32_t legs = 0;
@@ -66,7 +68,7 @@
   };
 
   // AcquirerEvents
-  bool TakesClass(std::string_view name) override;
+  std::string_view Objection(const OpenHead& head) override;
   SlotId OnOpen(SlotId client, const OpenHead& head) override;
   void OnClientBytes(SlotId owner) override;
   void OnClientEnd(SlotId owner, StreamEnd end) override;
@@ -95,6 +97,7 @@
   void TakeList(const HostList& list, ListSource source);
   void TryResume(Authorisation& a);
   void Answer(SlotId authorisation, std::string_view line);
+  void Forget(Authorisation& a);
   // Ends a standing connection: both sides are closed and the module is told how.
   void EndStanding(Authorisation& a, LegEnd end, std::string_view last_line);
   void PumpToHost(Authorisation& a);
@@ -116,6 +119,7 @@
   Issuer issuer_;
   Discovery discovery_;
   Slots<Authorisation> authorisations_;
+  std::unordered_set<std::string> open_ids_;
   Slots<Timer> timers_;
   std::vector<Pace> paces_;
   std::deque<arrowhatch::Event> events_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -14,6 +14,11 @@
 #include "net/line.h"
 
 namespace stoatrun {
+namespace {
+
+constexpr std::size_t kDropSize = std::size_t{128} * 1024;
+
+}  // namespace
 
 std::optional<Address> Address::Parse(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -29,7 +34,7 @@
 }
 
 Stream::Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id)
-    : loop_(loop), handler_(handler), id_(id), in_(std::make_unique<char[]>(kInSize)) {
+    : loop_(loop), handler_(handler), id_(id) {
   ev_init(&io_, OnIo);
   io_.data = this;
 }
@@ -58,11 +63,23 @@
 
 void Stream::Consume(std::size_t n) {
   n = std::min(n, size_);
+  if (n == 0) return;
   std::memmove(in_.get(), in_.get() + n, size_ - n);
   size_ -= n;
   Watch();
 }
 
+void Stream::Drop() {
+  dropping_ = true;
+  in_.reset();
+  size_ = 0;
+  SetReading(true);
+}
+
+void Stream::ReadNow() {
+  if (IsUp() && !broken_ && reading_ && !in_ended_) ReadSome();
+}
+
 void Stream::SetReading(bool on) {
   reading_ = on;
   Watch();
@@ -164,8 +181,14 @@
 
 void Stream::ReadSome() {
   if (size_ == kInSize) return Watch();
-  const ssize_t n = read(fd_, in_.get() + size_, kInSize - size_);
-  if (n > 0) {
+  if (!in_ && !dropping_) in_ = std::make_unique<char[]>(kInSize);
+  // Of what is dropped the kernel copies nothing.
+  static std::array<char, kDropSize> dropped;
+  const ssize_t n = dropping_ ? recv(fd_, dropped.data(), dropped.size(), MSG_TRUNC)
+                              : read(fd_, in_.get() + size_, kInSize - size_);
+  if (n > 0 && dropping_) {
+    handler_.OnDropped(id_, static_cast<std::size_t>(n));
+  } else if (n > 0) {
     size_ += static_cast<std::size_t>(n);
     Watch();
     handler_.OnBytes(id_);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -33,6 +33,7 @@
   virtual ~StreamHandler() = default;
   virtual void OnConnected(SlotId /*id*/) {}
   virtual void OnBytes(SlotId id) = 0;
+  virtual void OnDropped(SlotId /*id*/, std::size_t /*size*/) {}
   virtual void OnEnd(SlotId id, StreamEnd end) = 0;  // At most once a stream.
   virtual void OnRoom(SlotId /*id*/) {}              // All that was queued is written.
 };
@@ -52,11 +53,15 @@
   bool Connect(const Address& address);  // False: refused at once or no descriptor to be had.
 
   bool IsOpen() const { return fd_ >= 0; }
+  bool PeerEnded() const { return in_ended_; }
   bool IsUp() const { return IsOpen() && !connecting_; }
   // What was read and not consumed. It stays where it is until Consume, also when more comes.
   std::string_view In() const { return {in_.get(), size_}; }
   void Consume(std::size_t n);
   void SetReading(bool on);
+  // What was read and what comes is thrown away; OnDropped tells how much came.
+  void Drop();
+  void ReadNow();  // What the socket holds by now, before the loop tells of it.
   // A gathered write; what the socket does not take is queued. A break is told by OnEnd, later.
   void Write(std::initializer_list<std::string_view> pieces);
   std::size_t Queued() const { return out_.size() - out_begin_; }
@@ -78,8 +83,8 @@
   ev_io io_{};
   int fd_ = -1;
   bool connecting_ = false, reading_ = true, in_ended_ = false, finish_ = false, finished_ = false,
-       broken_ = false;
-  std::unique_ptr<char[]> in_;
+       broken_ = false, dropping_ = false;
+  std::unique_ptr<char[]> in_;  // Taken at the first byte: those who say nothing cost none.
   std::size_t size_ = 0;
   std::string out_;
   std::size_t out_begin_ = 0;
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -4,6 +4,7 @@
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/line.h"
+#include "net/log.h"
 #include "net/slots.h"
 
 namespace stoatrun {
@@ -73,14 +74,32 @@
   CHECK(head->again);
   CHECK(head->before_wait == "OPEN 1 k c=chat,t=acme,d=");
   CHECK(head->after_wait == ",h=12.5,again=1,x=1");
-  CHECK(ParseOpen("OPEN 1 k c=chat,d=1e300")->wait_ms == 86'400'000);
+  CHECK(ParseOpen("OPEN 9b1f03aa5c7e2d41 tpl/c0d c=chat,d=4294967.5,at=s-1,r=1,new=a=b")->wait_ms ==
+        4'294'967);
   for (const char* bad :
        {"", "OPEN", "OPEN 1", "OPEN 1 k", "OPEN 1 k d=5", "OPEN 1 k c=chat", "OPEN 1 k c=chat,d=x",
-        "OPEN 1 k c=chat,d=1,d=2", "OPEN 1 k c=chat,d=nan", "GET / HTTP/1.1"}) {
+        "OPEN 1 k c=chat,d=1,d=2", "OPEN 1 k c=chat,d=nan", "GET / HTTP/1.1",
+        // Read leniently, each of these was once taken for a request and served.
+        "OPEN 1 k c=chat,d=99999999999999999999999", "OPEN 1 k c=chat,d=1e3", "OPEN 1 k c=chat,d=-0",
+        "OPEN 1 k c=chat,d=0x10", "OPEN 1 k c=chat,d=", "OPEN 1 k c=chat,d=5,", "OPEN 1 k c=chat,,d=5",
+        "OPEN 1 k c=chat,c=feed,d=5", "OPEN 1 k c=chat,t=,d=5", "OPEN 1 k c=chat,d=5,x",
+        "OPEN 1 k c=chat,d=5 k", "OPEN 1 c=chat,d=5", "OPEN  k c=chat,d=5", "OPEN 1=2 k c=chat,d=5",
+        "OPEN 1 k c=chat,d=5,h=nan"}) {
+    INFO(bad);
     CHECK_FALSE(ParseOpen(bad));
   }
 }
 
+TEST_CASE("of what is logged at full speed a few a second are written and the rest is counted") {
+  LogLimit limit;
+  int written = 0;
+  for (int k = 0; k < 100; ++k) written += limit.Allows(Micros(2'000'000 + k)) ? 1 : 0;
+  CHECK(written == 5);
+  CHECK(limit.Allows(Micros(3'000'000)));
+  CHECK(limit.TakeLeftOut() == 95);
+  CHECK(limit.TakeLeftOut() == 0);
+}
+
 TEST_CASE("a bad configuration is named") {
   CHECK_THROWS_WITH(ParseConfig("{"), Catch::StartsWith("not JSON"));
   CHECK_THROWS_WITH(ParseConfig("{}"), "name: missing");
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -81,12 +81,59 @@
   Play("c send OPEN 1 k c=watch,d=-1\nc expect ERR\nc expect-end");
   Play("d raw OPEN 1 k c=wat\nd half\nd expect ERR\nd expect-end");
   Play("e raw " + std::string(5000, 'x') + "\ne expect ERR\ne expect-end");
-  Play("f raw OPEN\nwait 10100\nf expect ERR\nf expect-end");
+  Play("f raw OPEN\nwait 1500\nf raw  1\nwait 550\nf expect ERR\nf expect-end");
   Play("g send OPEN 1 k c=watch,d=2000,x=\x01\ng expect ERR\ng expect-end");
   CHECK(Counts().malformed == 7);
   CHECK(Counts().legs == 0);
 }
 
+// Served, the second would share the first one's place at its host.
+TEST_CASE_METHOD(Alone, "the id of an open connection is no new client's, and is free again after its end") {
+  Play(kStand);
+  Play("b send OPEN 1 k2 c=watch,d=2000\nb expect ERR\nb expect-end");
+  Play("a send M 1 x\ns-1 expect M 1 x\na reset\ns-1 expect-reset");
+  Play("c send OPEN 1 k c=watch,d=2000\ns-1#2 expect OPEN 1 k*");
+  CHECK(Counts().malformed == 1);
+}
+
+TEST_CASE_METHOD(Alone, "a client that asks again before it is answered is refused and its leg given up") {
+  SECTION("in one write") { Play("a both OPEN 1 k c=watch,d=2000 | OPEN 2 k c=watch,d=2000"); }
+  SECTION("later") {
+    Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\na send OPEN 2 k c=watch,d=2000");
+    Play("s-1 expect-end");
+  }
+  Play("a expect ERR\na expect-end");
+  CHECK(Counts().malformed == 1);
+}
+
+// Closing on unread bytes is a reset, which overtakes the answer of a client that has not read yet.
+TEST_CASE_METHOD(Alone, "the answer reaches a client that first sends 60 MB") {
+  Play("a pour 60000000\na expect ERR\na expect-end");
+}
+
+class Few : public World {  // 96 descriptors: at most 16 clients, and 16 callers at the least.
+ public:
+  Few() : World({"s-1"}, 96) {}
+};
+
+// Hundreds that say nothing once took every descriptor: clients were turned away and legs could not connect.
+TEST_CASE_METHOD(Few, "silent callers are bounded, the oldest go first, and clients come through") {
+  Play(kStand);
+  Play("crowd 200\nquiet 46\nb send OPEN 2 k c=watch,d=2000\ns-1#2 expect OPEN 2 k*\nquiet 44");
+  CHECK(Counts().crowded_out >= 154);
+  Play("wait 2050\nquiet 0");
+}
+
+TEST_CASE_METHOD(Few, "a client for whom there are no descriptors left is told to come again") {
+  for (int k = 0; k < 16; ++k) {
+    const std::string n = std::to_string(k);
+    Play("c" + n + " send OPEN " + n + " k c=watch,d=60000,at=s-9");
+  }
+  CHECK(Counts().no_room == 0);
+  Play("z send OPEN z k c=watch,d=2000\nz expect BUSY\nz expect-end");
+  CHECK(Counts().no_room == 1);
+}
+
 TEST_CASE_METHOD(Alone, "lines in parts are put together, and what comes before UP waits for it") {
   Play(R"(
     a raw OPEN 1 k c=wa
@@ -231,7 +278,10 @@
 // The front's checks keep connections without a first line open; they once held the end up until its last
 // moment.
 TEST_CASE_METHOD(Alone, "a planned end does not wait for connections that asked for nothing") {
-  Play("a send PING\na expect PONG\ndrain\nwait 700\nstopped");
+  SECTION("PING") { Play("a send PING\na expect PONG"); }
+  SECTION("half a line") { Play("a raw OPEN 1 k"); }
+  SECTION("an answered caller that does not end") { Play("a send HELLO"); }
+  Play("drain\nwait 510\nstopped");
 }
 
 #ifndef __SANITIZE_ADDRESS__  // The check of virtual calls needs a descriptor itself: it fails where none is
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <chrono>
@@ -80,7 +81,7 @@
   s.port = ntohs(a.sin_port);
 }
 
-World::World(const std::vector<std::string>& hosts) {
+World::World(const std::vector<std::string>& hosts, int descriptors) : descriptors_(descriptors) {
   SetLogLevel(Level::kError);
   for (const char* name : {"discovery", "discovery2"}) Listen(discoveries_[name]);
   for (const std::string& id : hosts) Listen(hosts_[id]);
@@ -96,8 +97,9 @@
                R"(","locality":"z","phase":"ready","later_field":[1]})";
   }
   return ParseConfig(R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
-                     std::to_string(discovery.port) +
-                     R"(","seed":"7","known":{"revision":1,"complete":true,"members":[)" + members +
+                     std::to_string(discovery.port) + R"(","limits":{"sockets":)" +
+                     std::to_string(descriptors_) +
+                     R"(},"seed":"7","known":{"revision":1,"complete":true,"members":[)" + members +
                      R"(]},"settings":)" + std::string(kSettings) + "}");
 }
 
@@ -221,6 +223,15 @@
       loop_.clock.Advance(std::chrono::milliseconds(std::min(left, 5)));
       for (int k = 0; k < 3; ++k) Turn();
     }
+  } else if (who == "crowd") {
+    for (int k = std::stoi(verb); k > 0; --k) PeerOf("crowd" + std::to_string(k), step);
+    for (int k = 0; k < 5; ++k) Turn();
+  } else if (who == "quiet") {
+    const auto there = std::count_if(clients_.begin(), clients_.end(), [](const auto& c) {
+      c.second->Read();
+      return c.first.starts_with("crowd") && !c.second->ended;
+    });
+    CHECK(there == std::stoi(verb));
   } else if (who == "drain") {
     relay_->Drain();
   } else if (who == "exhaust") {  // No descriptor is left when the client's connection is to be taken.
@@ -280,6 +291,9 @@
     Peer& peer = PeerOf(who, step);
     if (verb == "send") {
       peer.Send(text + "\r\n");
+    } else if (verb == "both") {
+      const std::size_t mark = text.find(" | ");
+      peer.Send(text.substr(0, mark) + "\r\n" + text.substr(mark + 3) + "\r\n");
     } else if (verb == "raw") {
       peer.Send(text);
     } else if (verb == "expect") {
@@ -291,6 +305,16 @@
       }));
       CHECK(peer.in.empty());
       CHECK(peer.reset == (verb == "expect-reset"));
+    } else if (verb == "pour") {  // It reads only when all is sent: a reset on the way would cost the answer.
+      const std::string bytes(1 << 16, 'k');
+      std::size_t left = std::stoul(text);
+      REQUIRE(Until([&] {
+        const ssize_t n = send(peer.fd, bytes.data(), std::min(left, bytes.size()), MSG_NOSIGNAL);
+        REQUIRE((n > 0 || errno == EAGAIN));
+        if (n > 0) left -= static_cast<std::size_t>(n);
+        return left == 0;
+      }));
+      shutdown(peer.fd, SHUT_WR);
     } else if (verb == "flood") {
       std::string chunk(999, '.');
       for (std::size_t k = 0; k < std::stoul(text); ++k) {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -7,6 +7,9 @@
 //   leg at host s-1 (s-1#2: the second); `s-1 legs N` counts them s-1 down | up | full   refuses connections;
 //   takes them again; lets them wait unanswered discovery send JSON | close | refuse | serve   a line of the
 //   watch; ends it; answers 503; serves again wait MS | drain | stopped
+//   crowd N           N callers connect and say nothing; `quiet N`: so many of them are still there
+//   a both LINE | LINE  sends two lines in one write
+//   a pour N          sends N bytes of one line that never ends, then its end
 //   reload discovery2  takes up a configuration that names it; `discovery2 asked TEXT`, `discovery2
 //   expect-end`
 #ifndef STOATRUN_TESTS_NET_WORLD_H_
@@ -26,7 +29,8 @@
 
 class World {
  public:
-  explicit World(const std::vector<std::string>& hosts);
+  // `descriptors`: what the relay is told that it may hold; 0: not told.
+  explicit World(const std::vector<std::string>& hosts, int descriptors = 0);
   ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
@@ -55,6 +59,7 @@
   void Turn();
   void Serve(Server& host);
   void ServeDiscovery(Server& discovery);
+  int descriptors_;
   Config ConfigWith(const Server& discovery) const;  // Which is all that a reload changes.
   Peer& PeerOf(const std::string& who, const std::string& step);
   void Expect(Peer& peer, const std::string& text, const std::string& step);
