Module: own sends count until a report can hold them; load of one by reported counts

At fault in src/decide.cpp: LoadOfOne took the fleet's load over the gateway's own few connections, so one more seemed to fill a server; TakeFigure forgot own sends at every answer, though an equal report is the same report; LearnFullShare knew a fresh gateway's share only from what it held, which starved cold servers; Herd counted own sends twice. Now reported counts tell what a connection weighs; own sends stay until a report that differs, or 1.5 s; a probe's answer no longer clears a server that turned attempts away. Ruled out: discovery (the list came in 0.4 s) and legs (none failed).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -68,6 +68,11 @@
 constexpr double kZoneWeight = 5.0;
 
 constexpr double kColdSafety = 0.5;  // Part of the cold budget used: capacity is estimated, arrivals vary.
+// Reports are made now and then and come late: own sends of so long may be missing in one, and those up to this
+// long before the last look at the server are missing in none that differs from what was seen then.
+constexpr Micros kReportAge = milliseconds(1500);
+constexpr Micros kReportDelay = milliseconds(300);
+constexpr double kLeastCount = 4;  // Connections that a fleet must report to tell what one of them weighs.
 constexpr double kFullShareWeight = 0.03;         // Of what a tick shows: a memory of some eight seconds.
 constexpr Micros kRateMemory = seconds(10);       // Memory of the arrival rate.
 constexpr Micros kAvoidBase = milliseconds(500);  // A failed server is avoided so long, doubled each time ...
@@ -137,13 +142,15 @@
   // Utilisation table.
   bool has_figure = false;
   double latest = 0, figure = 0;
+  double count = -1;  // Connections it reported with the latest; negative: none told.
   Micros figure_at{0};
-  int placed_since = 0;  // Own sends since the figure was asked for.
+  std::vector<Micros> unseen;  // Times of own sends that its report may not count yet.
   int sends_since_probe = 0;
   bool probe_out = false;
   bool sampled = false;  // The probe out is a sample, paid from their budget.
   // Health, as seen by this gateway.
   int failures = 0;
+  bool refuses = false;  // Its last failure was an attempt's: an answer to a probe does not disprove it.
   Micros avoid_until{0};
   Micros settle_until{0};
   // Cold budget, in connections of mean load.
@@ -288,6 +295,9 @@
   // What was known of a server's load ended with its process.
   void Restarted(Server& s, Micros at) {
     DropFigure(s);
+    s.failures = 0;
+    s.refuses = false;
+    s.avoid_until = Micros(0);
     s.cold_from = at;
     s.cold_at = now_;
     s.cold_tokens = random_.Unit();  // Gateways start at different points: their first sends don't bunch.
@@ -304,16 +314,20 @@
     --figures_;
   }
 
-  void TakeFigure(int i, double value) {
+  void TakeFigure(int i, double value, double count = -1) {
     Server& s = servers_[i];
     if (s.entry.state != ServerState::kReady) return;
     const double previous = s.has_figure ? s.latest : value;
+    // The same figures are the same report, looked at again: it knows no more of what was sent since.
+    const bool same = s.has_figure && value == s.latest && count == s.count;
+    const Micros since = same ? Micros(0) : s.figure_at - kReportDelay;
+    std::erase_if(s.unseen, [&](Micros at) { return at < std::max(since, now_ - kReportAge); });
     DropFigure(s);
     s.latest = value;
     s.figure = kAlpha * value + (1 - kAlpha) * previous;
     s.has_figure = true;
+    s.count = count;
     s.figure_at = now_;
-    s.placed_since = 0;
     figure_sum_ += std::min(s.figure, kFigureCap);
     ++figures_;
     Rebalance(i);
@@ -341,13 +355,21 @@
 
   // The share of a server's capacity that a connection of mean load takes, from what the fleet carries.
   double LoadOfOne() const {
+    double load = 0, count = 0;
+    for (const int i : eligible_) {
+      const Server& s = servers_[i];
+      if (!s.has_figure || s.count < 0) continue;
+      load += s.figure;
+      count += s.count;
+    }
+    if (count >= kLeastCount) return load / count;  // What a gateway holds itself says little after its start.
     if (held_ == 0 || eligible_.empty() || figures_ == 0) return 0.0;
     return Mean() * static_cast<double>(eligible_.size()) / (static_cast<double>(held_) * set_.gateways);
   }
 
   double Estimate(const Server& s) const {
     const double base = s.has_figure ? s.figure : Mean();
-    return base + s.placed_since * LoadOfOne();
+    return base + static_cast<double>(s.unseen.size()) * LoadOfOne();
   }
 
   // ---- 5 probing ----
@@ -370,9 +392,9 @@
     s.probe_out = false;
     const bool sampled = std::exchange(s.sampled, false);
     if (e.ok) {
-      if (s.failures > 0 && now_ >= s.avoid_until) s.failures = 0;
+      if (!s.refuses && now_ >= s.avoid_until) s.failures = 0;
       if (const auto figure = FigureOf(i, e.report)) {
-        TakeFigure(i, *figure);
+        TakeFigure(i, *figure, e.report ? e.report->outstanding.value_or(-1) : -1);
         AddToPool(i);
       } else if (sampled) {
         // Right after a start servers have no report made yet. A budget spent on such answers would leave the
@@ -381,7 +403,7 @@
         if (!s.has_figure) s.figure_at = now_;
       }
     } else {
-      NoteFailure(i);
+      NoteFailure(i, false);
     }
     for (std::size_t k = 0; k < waiting_.size();) {  // Those that waited for this answer may be placed now.
       const RequestId id = waiting_[k];
@@ -564,7 +586,7 @@
         best_cost = cost;
       }
     }
-    return best_cost < 100.0 || r.attempts > 0 || now_ >= r.decide_by ? best : kNone;
+    return best_cost < 100.0 || now_ >= r.decide_by ? best : kNone;
   }
 
   static bool Contains(const std::vector<int>& v, int i) {
@@ -582,7 +604,7 @@
     for (const int i : eligible_) {  // Warm ones only: in a growing fleet the new ones carry nothing yet.
       const Server& s = servers_[i];
       if (!s.has_figure || Cold(s)) continue;
-      held += static_cast<double>(s.held.size());
+      held += s.count >= 0 ? s.count / set_.gateways : static_cast<double>(s.held.size());
       load += std::min(s.figure, kFigureCap);
     }
     if (held <= 0 || load <= 0) return;
@@ -662,7 +684,8 @@
     r.server = i;
     r.sent_at = now_;
     r.tried.push_back(i);
-    ++s.placed_since;
+    std::erase_if(s.unseen, [&](Micros at) { return at < now_ - kReportAge; });
+    s.unseen.push_back(now_);
     sends_.Add(now_);
     Emit(SendAttempt{r.info.id, s.entry.id, timeout});
     if (++s.sends_since_probe >= kSampleSends && CanProbe()) Probe(i);
@@ -722,8 +745,9 @@
     r.awaited.clear();
   }
 
-  void NoteFailure(int i) {
+  void NoteFailure(int i, bool of_attempt) {
     Server& s = servers_[i];
+    s.refuses |= of_attempt;
     if (now_ < s.avoid_until) return;  // One trouble, told by several.
     s.avoid_until = now_ + Jittered(kAvoidBase * (1 << std::min(s.failures, kAvoidDoublings)), 0.75, 1.25);
     ++s.failures;
@@ -759,6 +783,7 @@
     Request* r = Find(e.id);
     if (r == nullptr || r->finished || r->established || !r->attempt_out) return;
     servers_[r->server].failures = 0;
+    servers_[r->server].refuses = false;
     successes_.Add(now_);
     --setups_out_;
     window_ = std::min(kWindowMax, window_ + 1);
@@ -770,7 +795,7 @@
     const int i = Index(e.server);
     if (i != kNone && e.report) {
       if (const auto figure = FigureOf(i, e.report)) {
-        TakeFigure(i, *figure);
+        TakeFigure(i, *figure, e.report->outstanding.value_or(-1));
         if (set_.reports == ReportMode::kWithAnswers) AddToPool(i);
       }
     }
@@ -779,14 +804,18 @@
     const bool stood = r->stood;
     Release(*r);
     r->attempt_out = false;
-    if (!stood) --setups_out_;
+    if (!stood) {
+      --setups_out_;
+      std::vector<Micros>& unseen = servers_[r->server].unseen;  // Its host will not report it.
+      if (!unseen.empty()) unseen.pop_back();
+    }
     if (!stood && e.outcome == Outcome::kTimedOut) CutWindow();
     if (!stood && (e.outcome == Outcome::kError || e.outcome == Outcome::kTimedOut)) faults_.Add(now_);
     const bool never_ran = e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNotConnected ||
                            e.outcome == Outcome::kNotSent;
     if (i != kNone && (e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNotConnected ||
                        e.outcome == Outcome::kCut || (e.outcome == Outcome::kTimedOut && !stood))) {
-      NoteFailure(i);
+      NoteFailure(i, true);
     }
     if (e.request_finished || r->finished) {
       Close(*r);
@@ -833,7 +862,7 @@
   // What the other gateways may have placed on a server since its report, if they do as this one does. Damps
   // admission when many come at once: all gateways see the same servers with room.
   double Herd() const {
-    return LoadOfOne() * sends_.At(now_) * set_.gateways /
+    return LoadOfOne() * sends_.At(now_) * (set_.gateways - 1) /
            std::max(1.0, static_cast<double>(eligible_.size()));
   }
 
