A drain moves its clients late and answers what is pending before SIGKILL; tests of the module's beliefs

DrainStep also held pending requests until the longest deadline and 0.6 s, but PROTOCOL takes that deadline as 3 s where it is longer: SIGKILL comes 3.7 s after SIGTERM, not 5.5. Now the clients are moved in the second that ends 0.4 s before the relay's own end, 0.2 s before SIGKILL, and what is pending then is answered.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -68,8 +68,8 @@
 constexpr double kZoneWeight = 5.0;
 
 constexpr double kColdSafety = 0.5;  // Part of the cold budget used: capacity is estimated, arrivals vary.
-// Reports are made now and then and come late: own sends of so long may be missing in one, and those up to this
-// long before the last look at the server are missing in none that differs from what was seen then.
+// Reports are made now and then and come late: own sends of so long may be missing in one, and those up to
+// this long before the last look at the server are missing in none that differs from what was seen then.
 constexpr Micros kReportAge = milliseconds(1500);
 constexpr Micros kReportDelay = milliseconds(300);
 constexpr double kLeastCount = 4;  // Connections that a fleet must report to tell what one of them weighs.
@@ -319,9 +319,10 @@
     if (s.entry.state != ServerState::kReady) return;
     const double previous = s.has_figure ? s.latest : value;
     // The same figures are the same report, looked at again: it knows no more of what was sent since.
+    // Without counts what one of them weighs is known too roughly to carry them over.
     const bool same = s.has_figure && value == s.latest && count == s.count;
-    const Micros since = same ? Micros(0) : s.figure_at - kReportDelay;
-    std::erase_if(s.unseen, [&](Micros at) { return at < std::max(since, now_ - kReportAge); });
+    const Micros since = count < 0 ? now_ : same ? Micros(0) : s.figure_at - kReportDelay;
+    std::erase_if(s.unseen, [&](Micros at) { return at <= std::max(since, now_ - kReportAge); });
     DropFigure(s);
     s.latest = value;
     s.figure = kAlpha * value + (1 - kAlpha) * previous;
@@ -362,7 +363,8 @@
       load += s.figure;
       count += s.count;
     }
-    if (count >= kLeastCount) return load / count;  // What a gateway holds itself says little after its start.
+    if (count >= kLeastCount)
+      return load / count;  // What a gateway holds itself says little after its start.
     if (held_ == 0 || eligible_.empty() || figures_ == 0) return 0.0;
     return Mean() * static_cast<double>(eligible_.size()) / (static_cast<double>(held_) * set_.gateways);
   }
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -27,12 +27,16 @@
 constexpr Micros kResumeRetry = milliseconds(250);
 constexpr Micros kResumeWait = seconds(10);
 constexpr Micros kDelayPeriod = seconds(1);  // A host's slow messages are told no more often than this.
-// A planned end: clients still come for 0.2 to 0.4 s, then the standing ones are moved, spread over a while.
+// A planned end: clients still come for 0.2 to 0.4 s. SIGKILL comes 0.7 s after the longest deadline, which
+// is taken as 3 s where it is longer: 0.2 s before that the relay ends. The standing clients are moved late
+// in that time, for until then they are served, and another relay may itself be on its way back; and not all
+// at once.
 constexpr Micros kTakeFor = milliseconds(500);
-constexpr Micros kMoveFor = milliseconds(1500);
 constexpr Micros kMoveStep = milliseconds(50);
-constexpr Micros kAfterDeadline = milliseconds(600);  // SIGKILL may come 0.7 s after the longest deadline.
-constexpr Micros kLeastDeadline = seconds(3);
+constexpr Micros kAfterDeadline = milliseconds(500);
+constexpr Micros kMostDeadline = seconds(3);
+constexpr Micros kMoveFor = milliseconds(1000);
+constexpr Micros kMovedBefore = milliseconds(400);  // Of the end: moved clients still have to hear it.
 
 constexpr std::size_t kUsualDescriptors = 1024;  // Where neither the configuration nor the system tells.
 
@@ -268,7 +272,6 @@
   }
   a = authorisations_.Find(owner);
   if (a == nullptr) return;
-  if (phase_ == Phase::kMoving) return Move(owner);
   PumpToHost(*a);
   PumpToClient(owner, false);
 }
@@ -497,18 +500,25 @@
     acquirer_.StopListening();
     phase_ = Phase::kMoving;
   }
-  std::vector<SlotId> standing;
+  std::vector<SlotId> standing, pending;
   authorisations_.ForEach([&](const Authorisation& a) {
     if (a.state == Authorisation::State::kStanding) standing.push_back(a.id);
+    if (a.state == Authorisation::State::kPending) pending.push_back(a.id);
   });
-  // An even share of what is left a step, all by the end.
-  const Micros left = drain_at_ + kTakeFor + kMoveFor - loop_.Now();
-  const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
-  standing.resize((standing.size() + steps - 1) / steps);
-  for (const SlotId id : standing) Move(id);
-  const Micros longest = std::max(site_.longest_deadline, kLeastDeadline);
+  const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
+  // An even share of what is left a step, all by the time.
+  const Micros left = end - kMovedBefore - loop_.Now();
+  if (left <= kMoveFor) {
+    const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
+    standing.resize((standing.size() + steps - 1) / steps);
+    for (const SlotId id : standing) Move(id);
+  }
+  const bool over = loop_.Now() >= end;
+  if (over) {  // What is unanswered now would be lost with the process.
+    for (const SlotId id : pending) Fail(id);
+  }
   const bool done = authorisations_.Size() == 0 && !acquirer_.Asking();
-  if (done || loop_.Now() >= drain_at_ + longest + kAfterDeadline) {
+  if (done || over) {
     LogLine(Level::kInfo) << "drained, left=" << authorisations_.Size();
     loop_.Stop();
     return;
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -348,6 +348,82 @@
   }
 }
 
+// A gateway that has just started holds little itself; by that one connection seemed to fill a server, and
+// the fresh gateway refused while all had room.
+TEST(Beliefs, AFreshGatewayWeighsAConnectionByWhatServersCount) {
+  Harness h;
+  h.List({Ready(1), Ready(2), Ready(3), Ready(4)});
+  std::size_t sent = 0, refused = 0;
+  for (std::uint64_t id = 1; id <= 8; ++id) {
+    auto actions = h.Request(id);
+    for (std::size_t k = 0; k < actions.size(); ++k) {
+      std::vector<Action> more;
+      if (const auto* p = std::get_if<ProbeServer>(&actions[k])) {
+        more = h.Report(static_cast<std::uint64_t>(p->server), 0.4, 8.0);
+      } else if (const auto* a = std::get_if<SendAttempt>(&actions[k])) {
+        ++sent;
+        more = h.Give(AttemptEstablished{a->id, a->server});
+      }
+      refused += std::holds_alternative<RefuseRequest>(actions[k]) ? 1 : 0;
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    h.Pass(Ms(20));
+  }
+  EXPECT_EQ(sent, 8U);
+  EXPECT_EQ(refused, 0U);
+}
+
+// Equal figures are one report looked at twice. When each look wiped out what had been sent since, all went
+// to the server whose old report was lowest until it fell over.
+TEST(Beliefs, OwnSendsCountUntilAReportCanHoldThem) {
+  Harness h;
+  h.List({Ready(1), Ready(2)});
+  std::size_t to_first = 0, all = 0;
+  for (std::uint64_t id = 1; id <= 12; ++id) {
+    auto actions = h.Request(id);
+    for (std::size_t k = 0; k < actions.size(); ++k) {
+      std::vector<Action> more;
+      if (const auto* p = std::get_if<ProbeServer>(&actions[k])) {
+        const bool first = p->server == Sv(1);
+        more = h.Report(static_cast<std::uint64_t>(p->server), first ? 0.20 : 0.25, first ? 4.0 : 5.0);
+      } else if (const auto* a = std::get_if<SendAttempt>(&actions[k])) {
+        ++all;
+        to_first += a->server == Sv(1) ? 1 : 0;
+        more = h.Give(AttemptEstablished{a->id, a->server});
+      }
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    h.Pass(Ms(30));
+  }
+  EXPECT_GE(all, 6U);
+  EXPECT_LE(to_first, all / 2 + 1);
+}
+
+// A server that drains answers probes, and ever better ones, while a late list still calls it ready.
+TEST(Beliefs, AProbesAnswerDoesNotClearAServerThatTurnsAttemptsAway) {
+  Harness h;
+  h.List({Ready(1), Ready(2)});
+  std::size_t to_leaving = 0;
+  for (std::uint64_t id = 1; id <= 60; ++id) {
+    auto actions = h.Request(id);
+    for (std::size_t k = 0; k < actions.size(); ++k) {
+      std::vector<Action> more;
+      if (const auto* p = std::get_if<ProbeServer>(&actions[k])) {
+        more = h.Report(static_cast<std::uint64_t>(p->server), p->server == Sv(1) ? 0.01 : 0.5,
+                        p->server == Sv(1) ? 1.0 : 50.0);
+      } else if (const auto* a = std::get_if<SendAttempt>(&actions[k])) {
+        to_leaving += a->server == Sv(1) ? 1 : 0;
+        more = a->server == Sv(1) ? h.End(static_cast<std::uint64_t>(a->id), 1, Outcome::kTurnedAway)
+                                  : h.Give(AttemptEstablished{a->id, a->server});
+      }
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    h.Pass(Ms(100));
+  }
+  EXPECT_GE(to_leaving, 1U);
+  EXPECT_LE(to_leaving, 5U);  // Six seconds: after 0.5, 1.5 and 3.5; without a memory every half second.
+}
+
 TEST(Determinism, SameEventsSameActions) {
   auto run = [] {
     Settings s = PlainSettings();
