--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -80,9 +80,12 @@
 constexpr double kFirstTimeout = 0.5;  // Part of the time left for an attempt while others may follow.
 // With even the best server over this, set-ups are refused: a server asked for more than it can do serves
 // nobody.
-constexpr double kAdmit = 0.75;
-constexpr Micros kHerdMemory = seconds(1);         // About the age of what the other gateways know, too.
-constexpr Micros kFullMemory = milliseconds(700);  // So long a full fleet needs no new probes to be known.
+constexpr double kAdmit = 0.8;
+constexpr Micros kHerdMemory = seconds(1);  // About the age of what the other gateways know, too.
+// Of what the others would send if they did as this one: part of it their reports show already, and one that
+// drains or has just started sends little.
+constexpr double kHerdPart = 0.5;
+constexpr Micros kFullMemory = milliseconds(200);  // So long a full fleet needs no new probes to be known.
 // Attempts may be this many times those that stood, and a few more: faults told by all servers alike mean
 // that something behind them is overrun, and more attempts would keep it so.
 constexpr double kAttemptsPerSuccess = 2.0;
@@ -864,7 +867,7 @@
   // What the other gateways may have placed on a server since its report, if they do as this one does. Damps
   // admission when many come at once: all gateways see the same servers with room.
   double Herd() const {
-    return LoadOfOne() * sends_.At(now_) * (set_.gateways - 1) /
+    return kHerdPart * LoadOfOne() * sends_.At(now_) * (set_.gateways - 1) /
            std::max(1.0, static_cast<double>(eligible_.size()));
   }
 
