Clients that come back are admitted while the fleet has room; a drain moves over 1.6 s

The reports are up to 1.5 s old and still count the moved clients, own sends and the herd count them again. Clients that return (again=1) bring no new load: they are admitted up to 0.95 without the herd while the mean is at most 0.65.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -81,6 +81,10 @@
 // With even the best server over this, set-ups are refused: a server asked for more than it can do serves
 // nobody.
 constexpr double kAdmit = 0.8;
+// Those that return after a break or a move bring no new load: the figures still count them where they were.
+// Not so once the fleet is full: then what broke them is too much load, which they would bring back.
+constexpr double kAdmitBack = 0.95;
+constexpr double kRoomBack = 0.65;
 constexpr Micros kHerdMemory = seconds(1);  // About the age of what the other gateways know, too.
 // Of what the others would send if they did as this one: part of it their reports show already, and one that
 // drains or has just started sends little.
@@ -861,7 +865,9 @@
   // A server asked for more than it can do serves nobody within the aim: one more set-up there takes from
   // all.
   bool TooFull(const Request& r, int i) const {
-    return servers_[i].has_figure && Estimate(servers_[i]) + Herd() > kAdmit && MayRefuse(r);
+    const bool back = r.info.came_back && Mean() <= kRoomBack;
+    const double over = back ? Estimate(servers_[i]) - kAdmitBack : Estimate(servers_[i]) + Herd() - kAdmit;
+    return servers_[i].has_figure && over > 0 && MayRefuse(r);
   }
 
   // What the other gateways may have placed on a server since its report, if they do as this one does. Damps
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -35,7 +35,7 @@
 constexpr Micros kMoveStep = milliseconds(50);
 constexpr Micros kAfterDeadline = milliseconds(500);
 constexpr Micros kMostDeadline = seconds(3);
-constexpr Micros kMoveFor = milliseconds(1000);
+constexpr Micros kMoveFor = milliseconds(1600);
 constexpr Micros kMovedBefore = milliseconds(400);  // Of the end: moved clients still have to hear it.
 
 constexpr std::size_t kUsualDescriptors = 1024;  // Where neither the configuration nor the system tells.
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -292,6 +292,39 @@
   }
 }
 
+// A relay that drains sends its clients away all at once. The figures still count them where they were, so
+// that counting them again, and a herd besides, refused most of them while there was room.
+TEST(Overload, ThoseWhoComeBackFindTheRoomTheyLeft) {
+  for (const bool back : {false, true}) {
+    Settings s = PlainSettings();
+    s.gateways = 10;
+    Harness h(s);
+    std::vector<ServerEntry> list;
+    for (std::uint64_t k = 1; k <= 10; ++k) list.push_back(Ready(k));
+    h.List(list);
+    std::size_t refused = 0, sent = 0;
+    for (std::uint64_t id = 1; id <= 25; ++id) {
+      RequestArrived e;
+      e.id = Rq(id);
+      e.deadline = h.now + Ms(2000);
+      e.came_back = back;
+      auto actions = h.Give(e);
+      for (std::uint64_t k = 1; k <= 10; ++k) {
+        const auto placed = h.Report(k, 0.6, 12.0);
+        actions.insert(actions.end(), placed.begin(), placed.end());
+      }
+      h.Pass(Ms(10));
+      refused += Of<RefuseRequest>(actions).size();
+      for (const SendAttempt& a : Of<SendAttempt>(actions)) {
+        ++sent;
+        h.Give(AttemptEstablished{a.id, a.server});
+      }
+    }
+    EXPECT_EQ(refused > 0, !back);
+    EXPECT_EQ(sent == 25, back);
+  }
+}
+
 TEST(Overload, FaultsEverywhereStopAttempts) {
   Settings s = PlainSettings();
   s.probes_allowed = false;
