--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -1,17 +1,23 @@
 // The one helper of the network tests: a relay on real loopback sockets under a clock that only `wait` moves,
 // with toy clients, issuer hosts and discovery, played from a script of one step a line:
 //
-//   a send TEXT        client a (connected at its first step) sends a line; `raw` sends without the line's
-//   end a expect TEXT      its next line; a * at the end takes any rest; `expect-end`, `expect-reset`: how it
-//   ends a half | close | reset   ends its sending; closes; breaks s-1 ...            the same for the first
-//   leg at host s-1 (s-1#2: the second); `s-1 legs N` counts them s-1 down | up | full   refuses connections;
-//   takes them again; lets them wait unanswered discovery send JSON | close | refuse | serve   a line of the
-//   watch; ends it; answers 503; serves again wait MS | drain | stopped
-//   crowd N           N callers connect and say nothing; `quiet N`: so many of them are still there
-//   a both LINE | LINE  sends two lines in one write
-//   a pour N          sends N bytes of one line that never ends, then its end
-//   reload discovery2  takes up a configuration that names it; `discovery2 asked TEXT`, `discovery2
-//   expect-end`
+// clang-format off
+//   a send TEXT           client a (connected at its first step) sends a line; `raw` sends without its end
+//   a both LINE | LINE    sends two lines in one write
+//   a expect TEXT         its next line; a * at the end takes any rest
+//   a expect-end | expect-reset         how it ends
+//   a half | close | reset              ends its sending; closes; breaks
+//   a pour N              sends N bytes of one line that never ends, then its end
+//   a flood N             sends N numbered lines; `s-1 expect-flood` takes them all
+//   crowd N | quiet N     N callers connect and say nothing; so many of them are still there
+//   exhaust a             client a connects while no descriptor is left
+//   s-1 ...               the same for the first leg at host s-1 (s-1#2: the second); `s-1 legs N`: so many
+//   s-1 down | full | load X            refuses connections; lets them wait unanswered; what its probes tell
+//   discovery send JSON | close | refuse | serve    a line of the watch; ends it; answers 503; serves again
+//   discovery watches N | asked TEXT | expect-end   of the watches held there; likewise for discovery2
+//   reload discovery2     takes up a configuration that names it
+//   wait MS | drain | stopped
+// clang-format on
 #ifndef STOATRUN_TESTS_NET_WORLD_H_
 #define STOATRUN_TESTS_NET_WORLD_H_
 
