Command line with sub-commands, operator file as protobuf text, log with named fields

Cause: what the platform's JSON does not know needs a place of its own, and each coming subsystem needs settings, a sub-command and records that a collector can read.

SIGHUP reads both files before it takes up either. spdlog writes the records, as text or JSON; a level that is not written formats nothing (it built a stream for each entry before).

--- /dev/null
+++ b/src/cli/check.cpp
@@ -0,0 +1,21 @@
+// `stoatrun check`: what both files would put in force, without starting anything.
+#include <iostream>
+
+#include "cli/cli.h"
+#include "net/config.h"
+#include "ops/operator_file.h"
+
+namespace stoatrun::cli {
+
+int Check(const Common& common) {
+  const config::OperatorFile file = LoadOperatorFile(common.operator_path);
+  const Config config = LoadConfig(LoadAt::kStart);
+  std::cout << "# configuration\nname: " << config.name << "\nlisten: " << config.listen_text
+            << "\ndiscovery: " << config.discovery_text << "\nhosts known: " << config.known.entries.size()
+            << "\nclasses:";
+  for (const auto& name : config.site.class_names) std::cout << ' ' << name;
+  std::cout << "\n\n# operator file\n" << ShowOperatorFile(file);
+  return kDone;
+}
+
+}  // namespace stoatrun::cli
--- /dev/null
+++ b/src/cli/run.cpp
@@ -0,0 +1,105 @@
+// `stoatrun run`: environment, signals and wiring of the relay.
+#include <ev.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <exception>
+#include <optional>
+
+#include "cli/cli.h"
+#include "net/config.h"
+#include "net/deadlines.h"
+#include "net/relay.h"
+#include "ops/log.h"
+#include "ops/operator_file.h"
+
+namespace stoatrun::cli {
+namespace {
+
+// STOATRUN_LOG goes before the operator file.
+void SetUpLog(const config::Log& log, const std::optional<Level>& given) {
+  SetLogLevel(given.value_or(static_cast<Level>(log.level())));
+  SetLogForm(log.form() == config::Log::JSON ? LogForm::kJson : LogForm::kText);
+}
+
+class Service {
+ public:
+  Service(const Common& common, const Config& config, const config::OperatorFile& file)
+      : common_(common), file_(file), relay_(loop_, config) {
+    Watch(term_, SIGTERM, OnEnd);
+    Watch(interrupt_, SIGINT, OnEnd);
+    Watch(usr1_, SIGUSR1, OnPrint);
+    Watch(hangup_, SIGHUP, OnReload);
+    // A peer that is gone is told by the write's result, not by the end of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
+  void Serve(const Config& config) {
+    relay_.Start();
+    LogLine(Level::kInfo, "ready").Field("name", config.name).Field("port", relay_.Port());
+    loop_.Run();
+    Print();
+  }
+
+ private:
+  void Watch(ev_signal& w, int number, void (*callback)(struct ev_loop*, ev_signal*, int)) {
+    ev_signal_init(&w, callback, number);
+    w.data = this;
+    ev_signal_start(loop_.Raw(), &w);
+  }
+  static Service& Of(ev_signal* w) { return *static_cast<Service*>(w->data); }
+  static void OnEnd(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).relay_.Drain(); }
+  static void OnPrint(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).Print(); }
+  static void OnReload(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
+    try {
+      Of(w).Reload();
+    } catch (const std::exception& e) {  // None may pass through the loop's C frames.
+      Of(w).relay_.ReloadFailed(e.what());
+    }
+  }
+
+  // Both files are read before either is taken up: a fault in one leaves both as they were.
+  void Reload() {
+    const Config config = LoadConfig(LoadAt::kReload);
+    const config::OperatorFile file = LoadOperatorFile(common_.operator_path);
+    const OperatorChange change = CompareOperatorFiles(file_, file);
+    for (const auto& field : change.need_restart)
+      LogLine(Level::kWarn, "reload takes a restart").Field("changed", field);
+    for (const auto& field : change.taken_up) LogLine(Level::kInfo, "reload").Field("operator", field);
+    SetUpLog(file.log(), config.log_level);
+    relay_.Reload(config);
+    // What takes a restart stays as it is in force, so that the next reload tells of it again.
+    *file_.mutable_log() = file.log();
+  }
+
+  void Print() {
+    LogLine record(Level::kInfo, "counters");
+    AddFields(record, relay_.Counts());
+  }
+
+  const Common& common_;
+  config::OperatorFile file_;
+  Loop loop_;
+  Relay relay_;
+  ev_signal term_{}, interrupt_{}, usr1_{}, hangup_{};
+};
+
+}  // namespace
+
+int Run(const Common& common) {
+  // Its default action would end the relay that is asked to read its file again.
+  std::signal(SIGHUP, SIG_IGN);
+  // Each client takes two descriptors; the shell's soft limit is often far under what is allowed.
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < files.rlim_max) {
+    files.rlim_cur = files.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &files);
+  }
+  const config::OperatorFile file = LoadOperatorFile(common.operator_path);
+  const Config config = LoadConfig(LoadAt::kStart);
+  SetUpLog(file.log(), config.log_level);
+  Service(common, config, file).Serve(config);
+  return kDone;
+}
+
+}  // namespace stoatrun::cli
--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <system_error>
 
-#include "net/log.h"
+#include "ops/log.h"
 
 namespace stoatrun {
 namespace {
@@ -102,7 +102,7 @@
         return;  // Nobody waits: the want of a descriptor is told before the queue is looked at.
       }
       ++counters_.accept_failed;
-      LogLine(Level::kWarn) << "accept failed errno=" << errno;
+      LogLine(Level::kWarn, "accept failed").Field("errno", errno);
       return;
     }
     ++counters_.accepted;
@@ -161,8 +161,10 @@
     shutdown(surplus, SHUT_WR);
     const bool asked = read(surplus, unread.data(), unread.size()) > 0;
     if (wants_.Allows(loop_.Now())) {
-      LogLine(Level::kWarn) << "turned away without a descriptor, asked=" << asked << " told=" << told
-                            << " left_out=" << wants_.TakeLeftOut();
+      LogLine(Level::kWarn, "turned away without a descriptor,")
+          .Field("asked", asked)
+          .Field("told", told)
+          .Field("left_out", wants_.TakeLeftOut());
     }
     close(surplus);
   }
@@ -229,8 +231,10 @@
 void Acquirer::Malformed(Client& c, std::string_view why) {
   ++counters_.malformed;
   if (bad_lines_.Allows(loop_.Now())) {
-    LogLine(Level::kInfo) << "bad first line: " << why << ": '" << Shown(c.stream.In())
-                          << "' left_out=" << bad_lines_.TakeLeftOut();
+    LogLine(Level::kInfo, "bad first line")
+        .Why(why)
+        .Field("line", Shown(c.stream.In()))
+        .Field("left_out", bad_lines_.TakeLeftOut());
   }
   End(c.id, kFailureLine);
 }
@@ -260,7 +264,7 @@
     if (!TakesAnother()) {
       ++counters_.no_room;
       if (wants_.Allows(loop_.Now())) {
-        LogLine(Level::kWarn) << "no descriptors for another client, left_out=" << wants_.TakeLeftOut();
+        LogLine(Level::kWarn, "no descriptors for another client,").Field("left_out", wants_.TakeLeftOut());
       }
       return End(c.id, kBusyLine);
     }
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -11,9 +11,9 @@
 #include "net/counters.h"
 #include "net/deadlines.h"
 #include "net/line.h"
-#include "net/log.h"
 #include "net/slots.h"
 #include "net/stream.h"
+#include "ops/log.h"
 
 namespace stoatrun {
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -64,7 +64,8 @@
     };
     Config c;
     c.name = text("name", env.name);
-    c.listen = AddressOf("listen", text("listen", env.listen));
+    c.listen_text = text("listen", env.listen);
+    c.listen = AddressOf("listen", c.listen_text);
     const bool file_first = env.when == LoadAt::kReload && Get(o, "discovery");
     c.discovery_text = text("discovery", file_first ? std::nullopt : env.discovery);
     c.discovery = AddressOf("discovery", c.discovery_text);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -5,13 +5,14 @@
 #include <simdjson.h>
 
 #include <cstddef>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 
 #include "net/hosts.h"
-#include "net/log.h"
 #include "net/stream.h"
+#include "ops/log.h"
 #include "settings/settings.h"
 
 namespace stoatrun {
@@ -25,8 +26,8 @@
 struct Config {
   std::string name;
   Address listen, discovery;
-  std::string discovery_text;
-  Level log_level = Level::kInfo;
+  std::string listen_text, discovery_text;
+  std::optional<Level> log_level;  // By STOATRUN_LOG.
   HostList known;
   arrowhatch::settings::SiteSettings site;
   std::size_t sockets = 0;    // Descriptors it may hold, by `limits.sockets`; 0: not told.
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -3,7 +3,8 @@
 #define STOATRUN_NET_COUNTERS_H_
 
 #include <cstdint>
-#include <ostream>
+
+#include "ops/log.h"
 
 namespace stoatrun {
 
@@ -18,7 +19,8 @@
   std::uint64_t lists = 0, watches_failed = 0, reloads = 0, reloads_failed = 0;
 };
 
-std::ostream& operator<<(std::ostream& out, const Counters& c);
+// Adds a field for each to a record.
+void AddFields(LogLine& record, const Counters& c);
 
 }  // namespace stoatrun
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,7 +7,7 @@
 
 #include "net/config.h"
 #include "net/line.h"
-#include "net/log.h"
+#include "ops/log.h"
 #include "settings/json.h"
 
 namespace stoatrun {
@@ -102,7 +102,7 @@
 }
 
 void Discovery::Fail(std::string_view why) {
-  LogLine(Level::kInfo) << "watch failed: " << why << ", again in " << backoff_.count() / 1000 << " ms";
+  LogLine(Level::kInfo, "watch failed").Why(why).Field("again_in_ms", backoff_.count() / 1000);
   ++counters_.watches_failed;
   Drop();
   retry_.Set(loop_.Now() + backoff_);
@@ -151,12 +151,12 @@
     simdjson::dom::parser parser;
     simdjson::dom::element root;
     if (parser.parse(simdjson::padded_string(line)).get(root) != simdjson::SUCCESS) {
-      LogLine(Level::kWarn) << "discovery sent what is not JSON";
+      LogLine(Level::kWarn, "discovery sent what is not JSON");
       return false;
     }
     list = ReadHostList(root);
   } catch (const arrowhatch::settings::FormError& e) {
-    LogLine(Level::kWarn) << "discovery sent a malformed list: " << e.what();
+    LogLine(Level::kWarn, "discovery sent a malformed list").Why(e.what());
     return false;
   }
   revision_ = list.revision;
--- a/src/net/issuer.cpp
+++ b/src/net/issuer.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 
 #include "net/line.h"
-#include "net/log.h"
+#include "ops/log.h"
 
 namespace stoatrun {
 namespace {
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -7,7 +7,7 @@
 #include <charconv>
 #include <utility>
 
-#include "net/log.h"
+#include "ops/log.h"
 
 namespace stoatrun {
 namespace {
@@ -92,9 +92,9 @@
 
 void Relay::Reload(const Config& config) {
   ++counters_.reloads;
-  LogLine(Level::kInfo) << "reload discovery=" << config.discovery_text;
+  LogLine(Level::kInfo, "reload").Field("discovery", config.discovery_text);
   const auto keeps = [](bool same, std::string_view what) {
-    if (!same) LogLine(Level::kWarn) << "reload: " << what << " changed, which takes a restart";
+    if (!same) LogLine(Level::kWarn, "reload takes a restart").Field("changed", what);
   };
   keeps(config.name == start_.name, "name");
   keeps(config.listen == start_.listen, "listen");
@@ -104,7 +104,7 @@
 
 void Relay::ReloadFailed(std::string_view why) {
   ++counters_.reloads_failed;
-  LogLine(Level::kError) << "reload failed, the old configuration stays: " << why;
+  LogLine(Level::kError, "reload failed, the old configuration stays").Why(why);
 }
 
 // ---- between the module and the sockets ----
@@ -135,8 +135,10 @@
   ++a->legs;
   const LegWork work{a->before_wait, a->after_wait, true, std::min(wait, a->opening.deadline - loop_.Now())};
   a->leg = issuer_.Open(authorisation, host, work);
-  LogLine(Level::kDebug) << "leg " << a->legs << " of " << authorisation.Packed() << " to "
-                         << issuer_.IdOf(host);
+  LogLine(Level::kDebug, "leg")
+      .Field("number", a->legs)
+      .Field("of", authorisation.Packed())
+      .Field("host", issuer_.IdOf(host));
 }
 
 void Relay::AbandonLeg(SlotId authorisation, std::uint32_t leg_number) {
@@ -168,7 +170,7 @@
   ++counters_.declined;
   std::string line = "BUSY";
   if (come_back.count() > 0) line += ' ' + std::to_string((come_back.count() + 999) / 1000);
-  LogLine(Level::kDebug) << "decline " << authorisation.Packed() << ' ' << line;
+  LogLine(Level::kDebug, "decline").Field("of", authorisation.Packed()).Field("line", line);
   Answer(authorisation, line + "\r\n");
 }
 
@@ -189,7 +191,7 @@
 void Relay::Watch() { discovery_.Watch(); }
 
 void Relay::OnProbe(HostNumber host, bool ok, std::string_view report) {
-  LogLine(Level::kDebug) << "probe of " << issuer_.IdOf(host) << (ok ? " ok " : " failed ") << report;
+  LogLine(Level::kDebug, "probe").Field("host", issuer_.IdOf(host)).Word("ok", ok).Field("report", report);
   Tell(Probed(host, ok, report));
 }
 
@@ -197,8 +199,11 @@
 
 void Relay::TakeList(const HostList& list, ListSource source) {
   issuer_.TakeList(list);
-  LogLine(Level::kInfo) << "list revision=" << list.revision << (list.complete ? " complete" : " changes")
-                        << " entries=" << list.entries.size();
+  LogLine(Level::kInfo, "list")
+      .Field("revision", list.revision)
+      .Word("complete", list.complete)
+      .Word("changes", !list.complete)
+      .Field("entries", list.entries.size());
   Tell(ListOf(
       list, source, [this](const std::string& id) { return issuer_.NumberOf(id); }, loop_.clock, zones_));
 }
@@ -280,8 +285,11 @@
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
   a->leg = {};
-  LogLine(Level::kDebug) << "leg " << a->legs << " of " << owner.Packed() << " to " << issuer_.IdOf(a->host)
-                         << " ended " << static_cast<int>(end);
+  LogLine(Level::kDebug, "leg ended")
+      .Field("number", a->legs)
+      .Field("of", owner.Packed())
+      .Field("host", issuer_.IdOf(a->host))
+      .Field("how", static_cast<int>(end));
   if (!a->resume_at.empty()) {
     if (end != LegEnd::kError && loop_.Now() < a->resume_until) {
       a->deadline.Set(loop_.Now() + kResumeRetry);
@@ -442,7 +450,7 @@
   if (slow ? loop_.Now() < p.told_at + kDelayPeriod : !p.slow) return;
   p.slow = slow;
   p.told_at = loop_.Now();
-  LogLine(Level::kDebug) << "messages of " << issuer_.IdOf(host) << " take " << delay.count() << " us";
+  LogLine(Level::kDebug, "slow messages").Field("host", issuer_.IdOf(host)).Field("take_us", delay.count());
   Tell(MessageTook(host, delay));
 }
 
@@ -456,7 +464,7 @@
   if (how == LegEnd::kBroken && a->state == Authorisation::State::kLeaving) how = LegEnd::kAbandoned;
   if (how == LegEnd::kBroken) {
     ++counters_.legs_cut;
-    LogLine(Level::kDebug) << "cut by " << issuer_.IdOf(a->host);
+    LogLine(Level::kDebug, "cut").Field("host", issuer_.IdOf(a->host));
     if (end == StreamEnd::kReset) acquirer_.Reset(a->client);
   }
   EndStanding(*a, how, {});
@@ -479,7 +487,7 @@
     case Authorisation::State::kStanding:
       // A machine that vanished says nothing, and its connections stay open for ever.
       ++counters_.silent;
-      LogLine(Level::kInfo) << "silent host " << issuer_.IdOf(a->host) << ": its client is moved";
+      LogLine(Level::kInfo, "silent host, its client is moved").Field("host", issuer_.IdOf(a->host));
       EndStanding(*a, LegEnd::kBroken, kMoveLine);
       return;
   }
@@ -491,7 +499,7 @@
   if (phase_ != Phase::kServing) return;
   phase_ = Phase::kTaking;
   drain_at_ = loop_.Now();
-  LogLine(Level::kInfo) << "draining authorisations=" << authorisations_.Size();
+  LogLine(Level::kInfo, "draining").Field("authorisations", authorisations_.Size());
   drain_.Set(drain_at_ + kTakeFor);
 }
 
@@ -519,7 +527,7 @@
   }
   const bool done = authorisations_.Size() == 0 && !acquirer_.Asking();
   if (done || over) {
-    LogLine(Level::kInfo) << "drained, left=" << authorisations_.Size();
+    LogLine(Level::kInfo, "drained,").Field("left", authorisations_.Size());
     loop_.Stop();
     return;
   }
--- /dev/null
+++ b/src/ops/log.cpp
@@ -0,0 +1,148 @@
+#include "ops/log.h"
+
+#include <spdlog/logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace stoatrun {
+namespace {
+
+constexpr std::array<std::string_view, 4> kNames{"debug", "info", "warn", "error"};
+std::atomic<Level> lowest = Level::kInfo;
+std::atomic<LogForm> form = LogForm::kText;
+
+// Milliseconds of Unix time lead each record: seconds and milliseconds of the pattern, written together.
+constexpr const char* kTextPattern = "%E%e %v";
+constexpr const char* kJsonPattern = R"({"time_ms":%E%e,%v})";
+
+spdlog::logger& Logger() {
+  static const std::shared_ptr<spdlog::logger> logger = [] {
+    auto made =
+        std::make_shared<spdlog::logger>("stoatrun", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    made->set_level(spdlog::level::trace);
+    made->flush_on(spdlog::level::trace);
+    made->set_pattern(form.load() == LogForm::kJson ? kJsonPattern : kTextPattern);
+    return made;
+  }();
+  return *logger;
+}
+
+// The length of the UTF-8 sequence that `text` begins with; 0: it begins with none.
+std::size_t SequenceLength(std::string_view text) {
+  const auto byte = [&](std::size_t k) { return static_cast<unsigned char>(text[k]); };
+  const unsigned char first = byte(0);
+  const std::size_t size = first < 0x80 ? 1 : first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+  if (size == 1) return 1;
+  if (first < 0xc2 || first > 0xf4 || text.size() < size) return 0;
+  for (std::size_t k = 1; k < size; ++k) {
+    if ((byte(k) & 0xc0) != 0x80) return 0;
+  }
+  const bool overlong = (first == 0xe0 && byte(1) < 0xa0) || (first == 0xf0 && byte(1) < 0x90);
+  const bool beyond = (first == 0xed && byte(1) > 0x9f) || (first == 0xf4 && byte(1) > 0x8f);
+  return overlong || beyond ? 0 : size;
+}
+
+}  // namespace
+
+void SetLogLevel(Level level) { lowest = level; }
+bool Logs(Level level) { return level >= lowest.load(std::memory_order_relaxed); }
+
+void SetLogForm(LogForm to) {
+  if (form.exchange(to) != to) Logger().set_pattern(to == LogForm::kJson ? kJsonPattern : kTextPattern);
+}
+
+std::optional<Level> LevelNamed(std::string_view name) {
+  for (std::size_t k = 0; k < kNames.size(); ++k) {
+    if (kNames[k] == name) return static_cast<Level>(k);
+  }
+  return std::nullopt;
+}
+
+void AppendJsonText(fmt::memory_buffer& out, std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t size = SequenceLength(text);
+    const char c = text.front();
+    if (size == 0) {
+      out.append(std::string_view("\\ufffd"));
+    } else if (c == '"' || c == '\\') {
+      out.push_back('\\');
+      out.push_back(c);
+    } else if (size == 1 && static_cast<unsigned char>(c) < 0x20) {
+      fmt::format_to(std::back_inserter(out), "\\u{:04x}", static_cast<unsigned>(c));
+    } else {
+      out.append(text.substr(0, size));
+    }
+    text.remove_prefix(size == 0 ? 1 : size);
+  }
+}
+
+LogLine::LogLine(Level level, std::string_view words)
+    : level_(level), on_(Logs(level)), json_(form.load(std::memory_order_relaxed) == LogForm::kJson) {
+  if (!on_) return;
+  const std::string_view name = kNames[static_cast<std::size_t>(level_)];
+  if (json_) {
+    fmt::format_to(std::back_inserter(text_), R"("level":"{}","event":")", name);
+    AppendJsonText(text_, words);
+    text_.push_back('"');
+  } else {
+    fmt::format_to(std::back_inserter(text_), "{} {}", name, words);
+  }
+}
+
+LogLine::~LogLine() {
+  if (!on_) return;
+  Logger().log(spdlog::level::info, spdlog::string_view_t(text_.data(), text_.size()));
+}
+
+LogLine& LogLine::Field(std::string_view name, std::string_view value) {
+  if (!on_) return *this;
+  if (json_) {
+    fmt::format_to(std::back_inserter(text_), R"(,"{}":")", name);
+    AppendJsonText(text_, value);
+    text_.push_back('"');
+  } else {
+    fmt::format_to(std::back_inserter(text_), " {}={}", name, value);
+  }
+  return *this;
+}
+
+LogLine& LogLine::Word(std::string_view word, bool there) {
+  if (!on_) return *this;
+  if (json_) {
+    fmt::format_to(std::back_inserter(text_), R"(,"{}":{})", word, there);
+  } else if (there) {
+    fmt::format_to(std::back_inserter(text_), " {}", word);
+  }
+  return *this;
+}
+
+LogLine& LogLine::Why(std::string_view reason) {
+  if (!on_) return *this;
+  if (json_) return Field("why", reason);
+  fmt::format_to(std::back_inserter(text_), ": {}", reason);
+  return *this;
+}
+
+bool LogLimit::Allows(Micros now) {
+  if (now >= from_ + std::chrono::seconds(1)) {
+    from_ = now;
+    written_ = 0;
+  }
+  if (written_ < kASecond) {
+    ++written_;
+    return true;
+  }
+  ++left_out_;
+  return false;
+}
+
+std::uint64_t LogLimit::TakeLeftOut() { return std::exchange(left_out_, 0); }
+
+}  // namespace stoatrun
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -4,7 +4,7 @@
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/line.h"
-#include "net/log.h"
+#include "ops/log.h"
 #include "net/slots.h"
 
 namespace stoatrun {
