Ledger of use per count group: exact accounting, checked SQLite store, export, reconcile

Need: the operators may bill count groups for use beyond their shares; relays share nothing, so each keeps its own ledger and the ledgers are reconciled from the exports alone.

Change: src/ledger counts standing connections in whole microseconds per group (`t`, carried by the relay now), class and UTC period, split by the group's share, and checks rows against lives. src/ledger/io keeps it in SQLite on a worker thread (src/base/worker): a checksum in each page by a layer under SQLite, postings taken once, periods closed with their hash-chained records in one transaction, delivery by POST as the pure src/ledger/delivery decides. `stoatrun ledger show, verify, export, correct, reconcile`.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <iostream>
 
+#include "ledger/io/store.h"
 #include "net/config.h"
 #include "ops/operator_file.h"
 
@@ -27,6 +28,7 @@
   app.add_subcommand("check", "read both files and print what would be in force")->callback([&] {
     act = [&] { return Check(common); };
   });
+  AddLedger(app, common, act);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -34,6 +36,12 @@
   }
   try {
     return act();
+  } catch (const CLI::Error& e) {
+    std::cerr << "stoatrun: " << e.what() << '\n';
+    return kBadUsage;
+  } catch (const ledger::StoreError& e) {
+    std::cerr << "stoatrun: " << e.what() << '\n';
+    return e.fault == ledger::StoreFault::kRefused ? kBadUsage : kFailed;
   } catch (const ConfigError& e) {
     std::cerr << "stoatrun: bad configuration: " << e.what() << '\n';
     return kBadUsage;
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -4,6 +4,7 @@
 #ifndef STOATRUN_CLI_CLI_H_
 #define STOATRUN_CLI_CLI_H_
 
+#include <functional>
 #include <string>
 
 namespace CLI {
@@ -22,6 +23,8 @@
 
 int Run(const Common& common);
 int Check(const Common& common);
+// Adds `ledger` and its own sub-commands; the one that is called sets `act`.
+void AddLedger(CLI::App& app, const Common& common, std::function<int()>& act);
 
 }  // namespace stoatrun::cli
 
--- /dev/null
+++ b/src/cli/ledger_setup.h
@@ -0,0 +1,18 @@
+// From both files to the ledger's own settings.
+#ifndef STOATRUN_CLI_LEDGER_SETUP_H_
+#define STOATRUN_CLI_LEDGER_SETUP_H_
+
+#include "ledger/io/courier.h"
+#include "ledger/io/keeper.h"
+#include "net/config.h"
+#include "operator.pb.h"
+
+namespace stoatrun::cli {
+
+// A share of the operator file goes before the settings' quota, which is that of all relays together.
+ledger::KeeperSetup KeeperSetupOf(const Config& config, const config::Ledger& file);
+ledger::CourierSetup CourierSetupOf(const config::Receiver& file, std::uint64_t seed);
+
+}  // namespace stoatrun::cli
+
+#endif  // STOATRUN_CLI_LEDGER_SETUP_H_
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -2,11 +2,14 @@
 #include <ev.h>
 #include <sys/resource.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <optional>
 
 #include "cli/cli.h"
+#include "cli/ledger_setup.h"
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/relay.h"
@@ -16,6 +19,9 @@
 namespace stoatrun::cli {
 namespace {
 
+// For the last checkpoint: a planned end has 0.2 s left before SIGKILL.
+constexpr std::chrono::milliseconds kLedgerEnd(150);
+
 // STOATRUN_LOG goes before the operator file.
 void SetUpLog(const config::Log& log, const std::optional<Level>& given) {
   SetLogLevel(given.value_or(static_cast<Level>(log.level())));
@@ -25,7 +31,16 @@
 class Service {
  public:
   Service(const Common& common, const Config& config, const config::OperatorFile& file)
-      : common_(common), file_(file), relay_(loop_, config) {
+      : common_(common), file_(file) {
+    if (file.has_ledger()) {
+      keeper_.emplace(loop_, KeeperSetupOf(config, file.ledger()), [] {
+        return std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
+      });
+      if (file.ledger().has_receiver()) {
+        courier_.emplace(loop_, *keeper_, CourierSetupOf(file.ledger().receiver(), config.site.module.seed));
+      }
+    }
+    relay_.emplace(loop_, config, keeper_ ? &*keeper_ : nullptr);
     Watch(term_, SIGTERM, OnEnd);
     Watch(interrupt_, SIGINT, OnEnd);
     Watch(usr1_, SIGUSR1, OnPrint);
@@ -35,10 +50,13 @@
   }
 
   void Serve(const Config& config) {
-    relay_.Start();
-    LogLine(Level::kInfo, "ready").Field("name", config.name).Field("port", relay_.Port());
+    relay_->Start();
+    LogLine(Level::kInfo, "ready").Field("name", config.name).Field("port", relay_->Port());
     loop_.Run();
+    const bool kept = !keeper_ || keeper_->Finish(kLedgerEnd);
     Print();
+    // A thread that hangs in a call to the disk can't be waited for, nor may its objects go.
+    if (!kept) std::_Exit(kDone);
   }
 
  private:
@@ -48,13 +66,13 @@
     ev_signal_start(loop_.Raw(), &w);
   }
   static Service& Of(ev_signal* w) { return *static_cast<Service*>(w->data); }
-  static void OnEnd(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).relay_.Drain(); }
+  static void OnEnd(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).relay_->Drain(); }
   static void OnPrint(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).Print(); }
   static void OnReload(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
     try {
       Of(w).Reload();
     } catch (const std::exception& e) {  // None may pass through the loop's C frames.
-      Of(w).relay_.ReloadFailed(e.what());
+      Of(w).relay_->ReloadFailed(e.what());
     }
   }
 
@@ -67,20 +85,24 @@
       LogLine(Level::kWarn, "reload takes a restart").Field("changed", field);
     for (const auto& field : change.taken_up) LogLine(Level::kInfo, "reload").Field("operator", field);
     SetUpLog(file.log(), config.log_level);
-    relay_.Reload(config);
+    relay_->Reload(config);
     // What takes a restart stays as it is in force, so that the next reload tells of it again.
     *file_.mutable_log() = file.log();
   }
 
   void Print() {
     LogLine record(Level::kInfo, "counters");
-    AddFields(record, relay_.Counts());
+    AddFields(record, relay_->Counts());
+    if (keeper_) keeper_->AddFields(record);
+    if (courier_) courier_->AddFields(record);
   }
 
   const Common& common_;
   config::OperatorFile file_;
   Loop loop_;
-  Relay relay_;
+  std::optional<ledger::Keeper> keeper_;
+  std::optional<ledger::Courier> courier_;
+  std::optional<Relay> relay_;  // Ends before what it tells.
   ev_signal term_{}, interrupt_{}, usr1_{}, hangup_{};
 };
 
--- /dev/null
+++ b/src/ledger/io/keeper.h
@@ -0,0 +1,110 @@
+// The ledger in the relay: owns the accounting, hands its postings to the store on a worker's thread, and
+// keeps them in memory, within a bound, while the disk does not take them.
+#ifndef STOATRUN_LEDGER_IO_KEEPER_H_
+#define STOATRUN_LEDGER_IO_KEEPER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/worker.h"
+#include "ledger/accounts.h"
+#include "ledger/io/store.h"
+#include "ledger/meter.h"
+#include "net/deadlines.h"
+#include "ops/log.h"
+
+namespace stoatrun::ledger {
+
+struct KeeperSetup {
+  AccountsSetup accounts;
+  StoreSetup store;
+  Micros checkpoint = std::chrono::seconds(5);
+  std::size_t most_cells = 65536;  // In memory while the disk is away; a cell takes about 100 bytes.
+};
+
+struct KeeperCounters {
+  std::uint64_t begun = 0, ended = 0, checkpoints = 0, store_failures = 0, imbalances = 0, clock_steps = 0;
+  std::int64_t unkept_us = 0;
+};
+
+class Keeper : public Meter {
+ public:
+  using WallClock = std::function<Micros()>;  // Unix time.
+
+  Keeper(Loop& loop, const KeeperSetup& setup, WallClock wall);
+  // Without Finish it is as if the process were killed: what was not kept is lost.
+  ~Keeper() override;
+  Keeper(const Keeper&) = delete;
+  Keeper& operator=(const Keeper&) = delete;
+
+  Ticket Begin(std::string_view group, std::size_t class_index) override;
+  void End(Ticket& ticket) override;
+
+  // A planned end: all is kept, or `bound` has passed. False: it was given up, and the process should end
+  // without clearing up. What could not be kept is logged.
+  bool Finish(std::chrono::milliseconds bound);
+
+  // Runs on the worker with the store, if there is one now; `reply` is run on the loop. False: not taken.
+  // The function may throw StoreError, which is logged; `reply` is then told so.
+  bool WithStore(std::function<void(Store&)> job, std::function<void(bool ok)> reply);
+  // Called on the loop after each change of the store, with what it then holds.
+  void OnState(std::function<void(const StoreState&)> f) { on_state_ = std::move(f); }
+
+  bool Idle() const { return worker_.Idle(); }
+  const KeeperCounters& Counts() const { return counts_; }
+  std::size_t BacklogCells() const;
+  void AddFields(LogLine& record) const;
+
+ private:
+  // What the worker's thread alone touches.
+  struct Disk {
+    std::optional<Store> store;
+    std::int64_t run = 0;
+  };
+  struct Result {
+    std::optional<StoreFault> fault;
+    std::string why;
+    StoreState state;
+    std::size_t kept = 0;     // Postings from the front of the backlog.
+    bool tried_next = false;  // The one after them may be kept, too, though the answer was an error.
+  };
+
+  struct Moment {
+    std::int64_t wall_us = 0, period_start_s = 0;
+  };
+
+  void Due();
+  void Collect(bool leave);
+  void Keep(Posting posting);
+  void Hand(bool ending);
+  void Take(const Result& result);
+  static Result KeepOnDisk(Disk& disk, const StoreSetup& setup, const std::vector<Posting>& postings,
+                           const OpenCounts& open, const Moment& began, const Moment& now, bool ending);
+
+  Loop& loop_;
+  const KeeperSetup setup_;
+  WallClock wall_;
+  Accounts accounts_;
+  const Moment began_;
+  std::deque<Posting> backlog_;
+  std::size_t handed_ = 0;  // From the front: their numbers are given and nothing is joined to them.
+  bool out_ = false;        // A job is with the worker.
+  bool ended_ = false;
+  std::uint64_t next_number_ = 1;
+  KeeperCounters counts_;
+  std::optional<StoreFault> fault_;
+  Micros fault_told_{0}, next_checkpoint_{0};
+  std::function<void(const StoreState&)> on_state_;
+  std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
+  Deadline checkpoint_;
+  Worker worker_;  // Last: its thread ends before what it uses.
+};
+
+}  // namespace stoatrun::ledger
+
+#endif  // STOATRUN_LEDGER_IO_KEEPER_H_
--- /dev/null
+++ b/src/ledger/record.cpp
@@ -0,0 +1,102 @@
+#include "ledger/record.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <stdexcept>
+
+namespace stoatrun::ledger {
+namespace {
+
+constexpr std::string_view kHead = R"({"record":)", kPrev = R"(,"prev":")", kHash = R"(","hash":")",
+                           kTail = "\"}\n";
+
+bool IsHash(std::string_view text) {
+  return text.size() == kHashSize && std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         });
+}
+
+struct Digest {
+  EVP_MD* md = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  EVP_MD_CTX* context = EVP_MD_CTX_new();
+  Digest() = default;
+  Digest(const Digest&) = delete;
+  Digest& operator=(const Digest&) = delete;
+  ~Digest() {
+    EVP_MD_CTX_free(context);
+    EVP_MD_free(md);
+  }
+};
+
+std::array<char, kHashSize> Hex(std::string_view text) {
+  thread_local const Digest digest;  // Looking the method up costs more than a line's hash.
+  std::array<unsigned char, kHashSize / 2> raw{};
+  unsigned size = 0;
+  if (digest.md == nullptr || EVP_DigestInit_ex2(digest.context, digest.md, nullptr) != 1 ||
+      EVP_DigestUpdate(digest.context, text.data(), text.size()) != 1 ||
+      EVP_DigestFinal_ex(digest.context, raw.data(), &size) != 1 || size != raw.size()) {
+    throw std::runtime_error("SHA-256 is not to be had");
+  }
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::array<char, kHashSize> hex{};
+  for (std::size_t k = 0; k < raw.size(); ++k) {
+    hex[2 * k] = kDigits[raw[k] >> 4U];
+    hex[2 * k + 1] = kDigits[raw[k] & 15U];
+  }
+  return hex;
+}
+
+}  // namespace
+
+std::string FirstHash() { return std::string(kHashSize, '0'); }
+
+std::string Sha256Hex(std::string_view text) {
+  const auto hex = Hex(text);
+  return {hex.data(), hex.size()};
+}
+
+Line MakeLine(const wire::Record& record, const std::string& prev) {
+  namespace util = google::protobuf::util;
+  util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  Line line;
+  line.text = kHead;
+  if (!util::MessageToJsonString(record, &line.text, options).ok())
+    throw std::runtime_error("a record has no JSON form");
+  if (!line.text.starts_with(kHead)) line.text.insert(0, kHead);  // Some releases clear what was there.
+  line.text.append(kPrev).append(prev).append(1, '"');
+  line.hash = Sha256Hex(line.text);
+  line.text.append(kHash.substr(1)).append(line.hash).append(kTail);
+  return line;
+}
+
+std::optional<LineParts> SplitLine(std::string_view line) {
+  const std::size_t after = kHash.size() + kHashSize + kTail.size();  // From the end of `prev`.
+  if (line.size() < kHead.size() + kPrev.size() + kHashSize + after) return std::nullopt;
+  const std::size_t end = line.size() - after;
+  LineParts parts;
+  parts.prev = line.substr(end - kHashSize, kHashSize);
+  parts.hash = line.substr(end + kHash.size(), kHashSize);
+  const std::size_t record_end = end - kHashSize - kPrev.size();
+  parts.record = line.substr(kHead.size(), record_end - kHead.size());
+  if (!line.starts_with(kHead) || !line.ends_with(kTail) || line.substr(record_end, kPrev.size()) != kPrev ||
+      line.substr(end, kHash.size()) != kHash || !IsHash(parts.prev) || !IsHash(parts.hash)) {
+    return std::nullopt;
+  }
+  const auto hex = Hex(line.substr(0, end + 1));  // With the closing quote of `prev`.
+  if (parts.hash != std::string_view(hex.data(), hex.size())) return std::nullopt;
+  return parts;
+}
+
+std::optional<wire::Record> ParseRecord(std::string_view record) {
+  wire::Record parsed;
+  const google::protobuf::StringPiece text(record.data(), record.size());
+  if (!google::protobuf::util::JsonStringToMessage(text, &parsed).ok()) return std::nullopt;
+  return parsed;
+}
+
+}  // namespace stoatrun::ledger
--- a/src/net/line.cpp
+++ b/src/net/line.cpp
@@ -102,6 +102,8 @@
     if (value.empty() || std::exchange(seen[known], true)) return std::nullopt;
     if (name == "c") {
       head.class_name = value;
+    } else if (name == "t") {
+      head.tenant = value;
     } else if (name == "d") {
       const auto wait = Amount(value);
       if (!wait || *wait > kMaxWaitMs) return std::nullopt;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -68,8 +68,9 @@
 
 }  // namespace
 
-Relay::Relay(Loop& loop, const Config& config)
+Relay::Relay(Loop& loop, const Config& config, ledger::Meter* meter)
     : loop_(loop),
+      meter_(meter),
       start_(config),
       site_(start_.site),
       zones_(config.site.zone_names),
@@ -160,7 +161,12 @@
   Forget(*a);
 }
 
+void Relay::EndUse(Authorisation& a) {
+  if (meter_ != nullptr) meter_->End(a.use);
+}
+
 void Relay::Forget(Authorisation& a) {
+  EndUse(a);
   a.deadline.Cancel();
   open_ids_.erase(a.open_id);
   authorisations_.Erase(a.id);
@@ -233,6 +239,7 @@
   open_ids_.insert(a.open_id);
   a.before_wait = head.before_wait;
   a.after_wait = head.after_wait;
+  a.group = head.tenant;
   a.opening.class_index = ClassIndex(head.class_name);
   a.opening.deadline = loop_.Now() + std::max(Micros(0), Micros(milliseconds(head.wait_ms)) - kOnTheWay);
   a.opening.load = head.load;
@@ -269,6 +276,7 @@
   ++counters_.up;
   a->state = Authorisation::State::kStanding;
   a->deadline.Cancel();
+  if (meter_ != nullptr) a->use = meter_->Begin(a->group, a->opening.class_index);
   acquirer_.Up(a->client, line);
   if (a->resume_at.empty()) {
     Tell(LegIsUp(owner, a->host));
@@ -337,6 +345,7 @@
     return;
   }
   if (Stream* leg = issuer_.Find(a->leg)) leg->Finish();
+  EndUse(*a);  // The client is done, whatever its host still has to say.
   a->state = Authorisation::State::kLeaving;
   a->deadline.Set(loop_.Now() + kLeaveWait);
   Tell(Left(owner));
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "arrowhatch/balancer.h"
+#include "ledger/meter.h"
 #include "net/acquirer.h"
 #include "net/config.h"
 #include "net/counters.h"
@@ -25,7 +26,8 @@
 
 class Relay : private AcquirerEvents, private IssuerEvents, private DiscoveryEvents, private Orders {
  public:
-  Relay(Loop& loop, const Config& config);
+  // `meter`: told of standing connections; outlives the relay; null: nobody is.
+  Relay(Loop& loop, const Config& config, ledger::Meter* meter = nullptr);
 
   void Start();  // Throws std::system_error if the address can't be had.
   // A planned end: still takes and answers for a while, then moves all standing clients and stops the loop.
@@ -53,6 +55,8 @@
     std::uint32_t legs = 0;
     Micros asked_at{0};  // When the oldest client line without an answer went on; 0: none.
     LegEnd last_word = LegEnd::kBroken;
+    std::string_view group;  // Of the client's line, as `before_wait`.
+    ledger::Ticket use;
   };
   struct Pace {  // What a host's messages took.
     Micros told_at{0};
@@ -98,6 +102,7 @@
   void TryResume(Authorisation& a);
   void Answer(SlotId authorisation, std::string_view line);
   void Forget(Authorisation& a);
+  void EndUse(Authorisation& a);
   // Ends a standing connection: both sides are closed and the module is told how.
   void EndStanding(Authorisation& a, LegEnd end, std::string_view last_line);
   void PumpToHost(Authorisation& a);
@@ -109,6 +114,7 @@
   std::size_t ClassIndex(std::string_view name) const;
 
   Loop& loop_;
+  ledger::Meter* const meter_;
   const Config start_;  // As the relay was started.
   const arrowhatch::settings::SiteSettings& site_;
   std::vector<std::string> zones_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "settings/json.h"
 
@@ -86,6 +87,22 @@
   return names;
 }
 
+std::vector<SiteSettings::Group> ReadGroups(const object& facts) {
+  std::vector<SiteSettings::Group> groups;
+  for (std::string& name : Names(facts, "accounts", true)) groups.push_back({std::move(name)});
+  const auto family = GetObject(facts, "familyInfo");
+  const auto quotas = family ? Get(*family, "tenantQuotaConnections") : std::nullopt;
+  if (!quotas) return groups;
+  std::size_t k = 0;
+  for (const element quota : AsArray(*quotas, "facts.familyInfo.tenantQuotaConnections")) {
+    if (k < groups.size() && !Absent(quota)) {
+      groups[k].quota = AsNumber(quota, "facts.familyInfo.tenantQuotaConnections");
+    }
+    ++k;
+  }
+  return groups;
+}
+
 }  // namespace
 
 ReportField ReportFieldOf(std::string_view name) {
@@ -111,6 +128,7 @@
   site.report_fields = ReadReportFields(*facts);
   site.class_names = Names(*facts, "classes", true);
   site.zone_names = Names(*facts, "azs", false);
+  site.groups = ReadGroups(*facts);
   site.connect_timeout = TimeOr(limits, "connectTimeout", Micros(0));
   site.idle_close = TimeOr(limits, "idleClose", Micros(0));
   site.stop_sending_within = TimeOr(rules, "stopSendingWithin", Micros(0));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -26,6 +26,11 @@
   // What only a host on sockets needs.
   std::vector<std::string> class_names;
   std::vector<std::string> zone_names;
+  struct Group {
+    std::string name;
+    double quota = -1;  // Open connections of all relays that are within its share; under 0: not told.
+  };
+  std::vector<Group> groups;
   Micros connect_timeout{0};  // 0: none told.
   Micros idle_close{0};
   Micros stop_sending_within{0};
--- /dev/null
+++ b/tests/ledger/accounts_test.cpp
@@ -0,0 +1,222 @@
+// The accounting against a naive model, and its hard cases one by one.
+#include "ledger/accounts.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace stoatrun::ledger {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Micros kStart(5'000'000);
+constexpr Micros kWall = seconds(1'800'000'000);  // On a border of all lengths used here.
+
+AccountsSetup Setup() {
+  return {seconds(60), {{"wetland", 1500}, {"coast", 0}, {"garden", std::nullopt}}, {"feed", "watch"}, 2};
+}
+
+// Sums over postings by period and row, however they were cut.
+struct Books {
+  std::map<std::tuple<std::int64_t, std::string, std::string>, std::int64_t> rows;
+  std::map<std::pair<std::int64_t, std::string>, std::int64_t> within, use;
+  std::int64_t lives = 0;
+  std::uint64_t begun = 0, steps = 0;
+
+  void Add(const std::vector<Posting>& postings) {
+    for (const Posting& p : postings) {
+      std::int64_t posted = 0;
+      for (const GroupUse& g : p.groups) {
+        use[{p.period_start_s, g.name}] += g.use_us;
+        within[{p.period_start_s, g.name}] += g.within_us;
+        for (const ClassUse& c : g.classes) {
+          rows[{p.period_start_s, g.name, c.name}] += c.use_us;
+          posted += c.use_us;
+          begun += c.begun;
+        }
+      }
+      CHECK(posted == p.lives_us);
+      CHECK(posted == p.UseUs());
+      lives += p.lives_us;
+      steps += p.steps.size();
+    }
+  }
+};
+
+// Walks the same history stretch by stretch: between two events nothing changes but the period.
+class Naive {
+ public:
+  void Walk(std::int64_t to_us, std::int64_t wall_less_mono) {
+    while (now_ < to_us) {
+      const std::int64_t wall = now_ + wall_less_mono;
+      const std::int64_t start = wall / 60'000'000 * 60;
+      const std::int64_t next = std::min(to_us, (start + 60) * 1'000'000 - wall_less_mono);
+      std::map<std::string, std::int64_t> open;
+      for (const auto& [group, class_name] : open_) {
+        rows[{start, group, class_name}] += next - now_;
+        ++open[group];
+      }
+      for (const auto& [group, count] : open) {
+        const std::int64_t share = group == "wetland" ? 1500 : group == "coast" ? 0 : count * 1000;
+        within_milli[{start, group}] += std::min(share, count * 1000) * (next - now_);
+      }
+      now_ = next;
+    }
+  }
+  void Open(const std::string& group, const std::string& class_name) {
+    open_.emplace_back(group, class_name);
+  }
+  void Shut(std::size_t k) { open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(k)); }
+
+  std::map<std::tuple<std::int64_t, std::string, std::string>, std::int64_t> rows;
+  std::map<std::pair<std::int64_t, std::string>, std::int64_t> within_milli;
+
+ private:
+  std::int64_t now_ = kStart.count();
+  std::vector<std::pair<std::string, std::string>> open_;
+};
+
+TEST_CASE("accounts agree with a naive model over random histories with clock steps") {
+  const bool holds = rc::check([] {
+    Accounts accounts(Setup(), kStart, kWall);
+    Naive naive;
+    Books books;
+    std::vector<Ticket> tickets;
+    Micros now = kStart;
+    std::int64_t offset = (kWall - kStart).count();
+    const std::vector<std::string> groups{"wetland", "coast", "garden", "(missing)"};
+    const auto count = *rc::gen::inRange(1, 60);
+    for (int k = 0; k < count; ++k) {
+      now += Micros(
+          *rc::gen::weightedOneOf<std::int64_t>({{5, rc::gen::inRange<std::int64_t>(0, 3'000'000)},
+                                                 {1, rc::gen::inRange<std::int64_t>(0, 200'000'000)}}));
+      naive.Walk(now.count(), offset);
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+        case 1: {
+          const std::string group = *rc::gen::elementOf(groups);
+          const std::size_t c = *rc::gen::inRange<std::size_t>(0, 2);
+          tickets.push_back(accounts.Begin(now, group == "(missing)" ? "" : group, c));
+          naive.Open(group, Setup().classes[c]);
+          break;
+        }
+        case 2:
+          if (!tickets.empty()) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, tickets.size());
+            accounts.End(now, tickets[at]);
+            tickets.erase(tickets.begin() + static_cast<std::ptrdiff_t>(at));
+            naive.Shut(at);
+          }
+          break;
+        case 3:
+          books.Add(accounts.Take(now, false));
+          break;
+        default: {  // Steps of up to three hours either way; under the slack it is no step.
+          std::int64_t step = *rc::gen::inRange<std::int64_t>(-10'800'000'000, 10'800'000'000);
+          if (step <= Accounts::kSlack.count() && step >= -Accounts::kSlack.count()) step = 1'000'000;
+          offset += step;
+          accounts.Tick(now, Micros(now.count() + offset));
+          break;
+        }
+      }
+      RC_ASSERT(accounts.Check(now).Balance());
+    }
+    books.Add(accounts.Take(now, true));
+    std::erase_if(books.rows, [](const auto& r) { return r.second == 0; });
+    std::erase_if(naive.rows, [](const auto& r) { return r.second == 0; });
+    RC_ASSERT(books.rows == naive.rows);
+    // What is under a microsecond is carried into the next period of its group.
+    std::map<std::string, std::int64_t> ours, theirs;
+    for (const auto& [key, value] : books.within) {
+      RC_ASSERT(std::abs(value * 1000 - naive.within_milli[key]) < 1000);
+      RC_ASSERT(value <= books.use[key]);
+      ours[key.second] += value;
+    }
+    for (const auto& [key, value] : naive.within_milli) theirs[key.second] += value;
+    for (const auto& [group, value] : ours) RC_ASSERT(value == theirs[group] / 1000);
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("a connection across borders is cut at them, to the microsecond") {
+  Accounts accounts(Setup(), kStart, kWall + seconds(30));
+  Ticket t = accounts.Begin(kStart, "garden", 0);
+  accounts.End(kStart + seconds(100) + Micros(7), t);
+  const auto postings = accounts.Take(kStart + seconds(100) + Micros(7), false);
+  REQUIRE(postings.size() == 3);
+  CHECK(postings[0].UseUs() == 30'000'000);
+  CHECK(postings[0].left);
+  CHECK(postings[1].UseUs() == 60'000'000);
+  CHECK(postings[2].UseUs() == 10'000'007);
+  CHECK_FALSE(postings[2].left);
+  CHECK(postings[2].period_start_s == 1'800'000'120);
+}
+
+TEST_CASE("a clock that is stepped neither loses nor doubles, and is recorded") {
+  const auto by = GENERATE(hours(3), hours(-3), hours(24 * 400));
+  Accounts accounts(Setup(), kStart, kWall + seconds(10));
+  Ticket t = accounts.Begin(kStart, "garden", 1);
+  accounts.Tick(kStart + seconds(20), kWall + seconds(30) + by);
+  accounts.End(kStart + seconds(25), t);
+  const auto postings = accounts.Take(kStart + seconds(25), false);
+  REQUIRE(postings.size() == 2);
+  CHECK(postings[0].period_start_s == 1'800'000'000);
+  CHECK(postings[0].UseUs() == 20'000'000);
+  CHECK(postings[1].period_start_s == 1'800'000'000 + seconds(by).count());
+  CHECK(postings[1].UseUs() == 5'000'000);
+  REQUIRE(postings[0].steps.size() == 1);
+  CHECK(postings[0].steps[0].to_wall_us - postings[0].steps[0].from_wall_us == Micros(by).count());
+}
+
+TEST_CASE("a clock that drifts moves the borders and is no step") {
+  Accounts accounts(Setup(), kStart, kWall);
+  Ticket t = accounts.Begin(kStart, "garden", 0);
+  for (int k = 1; k <= 600; ++k) accounts.Tick(kStart + milliseconds(100 * k), kWall + milliseconds(99 * k));
+  accounts.End(kStart + seconds(60), t);
+  Books books;
+  books.Add(accounts.Take(kStart + seconds(60), false));
+  CHECK(books.steps == 0);
+  CHECK(books.lives == 60'000'000);
+  CHECK(books.use[{1'800'000'000, "garden"}] == 60'000'000);  // 59.4 s by the wall.
+}
+
+TEST_CASE("groups that nobody named get rows of their own, within a bound, and none is dropped") {
+  Accounts accounts(Setup(), kStart, kWall);
+  std::vector<Ticket> tickets;
+  const std::string endless(500, 'x');
+  for (const char* name : {"raptor", "", "bad name", "owls", "third", "fourth"}) {
+    tickets.push_back(accounts.Begin(kStart, name, 0));
+  }
+  tickets.push_back(accounts.Begin(kStart, endless, 0));
+  Books books;
+  books.Add(accounts.Take(kStart + seconds(1), false));
+  CHECK(books.use[{1'800'000'000, "raptor"}] == 1'000'000);
+  CHECK(books.use[{1'800'000'000, "owls"}] == 1'000'000);
+  CHECK(books.use[{1'800'000'000, kMissingGroup}] == 1'000'000);
+  CHECK(books.use[{1'800'000'000, kOtherGroups}] == 4'000'000);
+  CHECK(accounts.Rows() == 4);
+}
+
+TEST_CASE("the check tells what broke") {
+  Accounts accounts(Setup(), kStart, kWall);
+  Ticket t = accounts.Begin(kStart, "garden", 0);
+  Ticket copy = t;
+  accounts.End(kStart + seconds(1), t);
+  accounts.End(kStart + seconds(2), t);  // A ticket that is not open is passed by.
+  CHECK(accounts.Check(kStart + seconds(3)).Balance());
+  Ticket other = accounts.Begin(kStart + seconds(3), "garden", 1);
+  accounts.End(kStart + seconds(5), copy);  // Ended twice, by way of a copy.
+  accounts.End(kStart + seconds(6), other);
+  CHECK_FALSE(accounts.Check(kStart + seconds(7)).Balance());
+}
+
+}  // namespace
+}  // namespace stoatrun::ledger
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -4,8 +4,8 @@
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/line.h"
-#include "ops/log.h"
 #include "net/slots.h"
+#include "ops/log.h"
 
 namespace stoatrun {
 namespace {
