Ledger: verify reads pages under its lock, checkpoints on time, exports killed at each step

Cause: verify opened the database file once more; closing it drops the locks of the process, so a relay that writes meanwhile could look damaged. A checkpoint that is no multiple of the tick came up to a second late. Printing the counters did not compare the ledger's sums.

Change: pages are read through SQLite's own file. The next tick is the checkpoint, if that is sooner. The counters' record checks the sums. Tests: the relay killed at each of 40 turns of an export delivers each record once; an export file killed at every 97th byte of its writing is the old one or the whole new one.

--- a/src/base/worker.cpp
+++ b/src/base/worker.cpp
@@ -84,6 +84,11 @@
   return shared_->jobs.empty() && !shared_->running && shared_->replies.empty();
 }
 
+bool Worker::Resting() const {
+  const std::scoped_lock lock(shared_->guard);
+  return shared_->jobs.empty() && !shared_->running;
+}
+
 bool Worker::Finish(std::chrono::milliseconds bound) {
   const auto end = std::chrono::steady_clock::now() + bound;
   while (!Idle()) {
--- a/src/base/worker.h
+++ b/src/base/worker.h
@@ -28,6 +28,8 @@
   bool Post(Job job);
   // Nothing waits or runs, and all replies were run.
   bool Idle() const;
+  // No job waits or runs; replies may wait.
+  bool Resting() const;
   // Runs what is queued, its replies included, here and now. False: it took longer than `bound` and is given
   // up; its thread may still be in a call that blocks, so the process should end without clearing up.
   bool Finish(std::chrono::milliseconds bound);
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -91,6 +91,7 @@
   }
 
   void Print() {
+    if (keeper_) keeper_->CheckNow();
     LogLine record(Level::kInfo, "counters");
     AddFields(record, relay_->Counts());
     if (keeper_) keeper_->AddFields(record);
--- a/src/ledger/io/checked_vfs.cpp
+++ b/src/ledger/io/checked_vfs.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
-#include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -165,16 +164,19 @@
   return std::all_of(page.begin(), page.end(), [](char c) { return c == 0; });
 }
 
-std::optional<std::uint64_t> FirstBadPage(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) throw std::runtime_error(path + ": can't be read");
+std::optional<std::uint64_t> FirstBadPage(sqlite3* db) {
+  sqlite3_file* file = nullptr;
+  sqlite3_int64 size = 0;
+  int code = sqlite3_file_control(db, "main", SQLITE_FCNTL_FILE_POINTER, static_cast<void*>(&file));
+  if (code == SQLITE_OK) code = file->pMethods->xFileSize(file, &size);
+  if (code != SQLITE_OK) throw SqlError(code, "the file can't be read");
   std::array<char, kPageSize> page;
-  for (std::uint64_t number = 1;; ++number) {
-    in.read(page.data(), page.size());
-    const auto got = static_cast<std::size_t>(in.gcount());
-    if (got == 0) return std::nullopt;
-    if (got < page.size() || !PageHolds({page.data(), page.size()}, number)) return number;
+  for (sqlite3_int64 at = 0; at < size; at += kPageSize) {
+    code = file->pMethods->xRead(file, page.data(), kPageSize, at);
+    if (code == SQLITE_IOERR_DATA || code == SQLITE_IOERR_SHORT_READ) return at / kPageSize + 1;
+    if (code != SQLITE_OK) throw SqlError(code, "the file can't be read");
   }
+  return std::nullopt;
 }
 
 }  // namespace stoatrun::ledger
--- a/src/ledger/io/keeper.cpp
+++ b/src/ledger/io/keeper.cpp
@@ -36,24 +36,29 @@
 }
 
 void Keeper::Due() {
-  checkpoint_.Set(loop_.Now() + std::min(setup_.checkpoint, kMostTick));
   accounts_.Tick(loop_.Now(), wall_());
   const bool period_done = accounts_.PeriodDone(loop_.Now());
-  if (!period_done && loop_.Now() < next_checkpoint_) return;
-  next_checkpoint_ = loop_.Now() + setup_.checkpoint;
-  Collect(false);
-  Hand(false);
+  if (period_done || loop_.Now() >= next_checkpoint_) {
+    next_checkpoint_ = loop_.Now() + setup_.checkpoint;
+    Collect(false);
+    Hand(false);
+  }
+  checkpoint_.Set(std::min(next_checkpoint_, loop_.Now() + kMostTick));
 }
 
-void Keeper::Collect(bool leave) {
+bool Keeper::CheckNow() {
   const auto sums = accounts_.Check(loop_.Now());
-  if (!sums.Balance()) {
-    ++counts_.imbalances;
-    LogLine(Level::kError, "ledger out of balance")
-        .Field("booked_us", sums.booked_us)
-        .Field("lives_us", sums.lives_us)
-        .Field("breaches", sums.breaches);
-  }
+  if (sums.Balance()) return true;
+  ++counts_.imbalances;
+  LogLine(Level::kError, "ledger out of balance")
+      .Field("booked_us", sums.booked_us)
+      .Field("lives_us", sums.lives_us)
+      .Field("breaches", sums.breaches);
+  return false;
+}
+
+void Keeper::Collect(bool leave) {
+  CheckNow();
   for (Posting& p : accounts_.Take(loop_.Now(), leave)) {
     for (const ClockStep& s : p.steps) {
       ++counts_.clock_steps;
--- a/src/ledger/io/keeper.h
+++ b/src/ledger/io/keeper.h
@@ -55,7 +55,11 @@
   // Called on the loop after each change of the store, with what it then holds.
   void OnState(std::function<void(const StoreState&)> f) { on_state_ = std::move(f); }
 
+  // Compares both sums now; logs and counts a difference.
+  bool CheckNow();
+
   bool Idle() const { return worker_.Idle(); }
+  bool DiskRests() const { return worker_.Resting(); }
   const KeeperCounters& Counts() const { return counts_; }
   std::size_t BacklogCells() const;
   void AddFields(LogLine& record) const;
--- a/src/ledger/io/store.cpp
+++ b/src/ledger/io/store.cpp
@@ -504,7 +504,7 @@
     try {
       // Holds the read lock, so that no page changes under the check.
       const std::string head = Meta("head_seq");
-      if (const auto page = FirstBadPage(path_))
+      if (const auto page = FirstBadPage(db_->Raw()))
         wrong.push_back(fmt::format("{}: page {} is damaged", path_, *page));
       Query check(*db_, "PRAGMA integrity_check");
       while (check.Step()) {
--- a/tests/ledger/keeper_test.cpp
+++ b/tests/ledger/keeper_test.cpp
@@ -1,15 +1,20 @@
 // The ledger in the relay: disks that fail, receivers that fail, relays that are killed.
 #include "ledger/io/keeper.h"
 
+#include <sys/resource.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <cmath>
+#include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <random>
+#include <thread>
 
 #include "ledger/io/courier.h"
 #include "ledger/io/export_file.h"
@@ -301,6 +306,72 @@
   CHECK(desk.courier->Backlog() <= 1);
 }
 
+TEST_CASE("killed at any turn of an export, the relay delivers each record once") {
+  for (int turns = 0; turns < 40; ++turns) {
+    INFO("killed after " << turns << " turns");
+    Receiver receiver;
+    MemDisk disk("export-" + std::to_string(turns));
+    Desk desk(&disk, "n0", &receiver);
+    Ticket t = desk.keeper->Begin("wetland", 0);
+    Ticket u = desk.keeper->Begin("raptor", 0);
+    desk.Wait(seconds(59), &receiver);
+    desk.keeper->End(t);
+    desk.keeper->End(u);
+    desk.Wait(milliseconds(500), &receiver);
+    desk.mono += seconds(1);
+    desk.loop->clock.Advance(seconds(1));  // The period closes: its records are made, sent, confirmed.
+    for (int k = 0; k < turns; ++k) {
+      desk.Turn(&receiver);
+      while (!desk.keeper->DiskRests()) std::this_thread::yield();
+    }
+    desk.Kill();
+    receiver.Poll();  // What was sent is there, though nobody waits for the answer.
+    desk.Start();
+    desk.Wait(seconds(70), &receiver);
+    CHECK(receiver.Contradictions() == 0);
+    Store store = desk.Reader();
+    CHECK(store.State().delivered_seq == store.State().head_seq);
+    REQUIRE(receiver.Lines().size() == store.State().head_seq);
+    CHECK(desk.Read().use_us <= 118'000'000);
+    CHECK(desk.Read().use_us >= 116'000'000);
+  }
+}
+
+TEST_CASE("an export file is whole or the old one, wherever its writing is killed") {
+  Desk desk(nullptr);
+  Ticket t = desk.keeper->Begin("wetland", 0);
+  desk.Wait(seconds(200));
+  desk.keeper->End(t);
+  REQUIRE(desk.keeper->Finish(seconds(5)));
+  const std::string path = desk.Folder() + "/n0.jsonl";
+  const auto read = [&] {
+    std::ifstream in(path, std::ios::binary);
+    return std::string{std::istreambuf_iterator<char>(in), {}};
+  };
+  std::ofstream(path) << "the old one";
+  Store store = desk.Reader();
+  for (rlim_t most = 0; read() == "the old one"; most += 97) {
+    const pid_t child = fork();
+    if (child == 0) {  // The write that goes over the limit kills it.
+      const rlimit limit{most, most};
+      setrlimit(RLIMIT_FSIZE, &limit);
+      std::signal(SIGXFSZ, SIG_DFL);
+      Store own({desk.Folder(), "", "", nullptr, false, 0});
+      WriteExport(own, 1, path);
+      _exit(0);
+    }
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    const bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGXFSZ;
+    REQUIRE((killed == (read() == "the old one")));
+    REQUIRE(most < 100'000);
+  }
+  const Reconciled r = ReconcileFiles({path}, 1);
+  CHECK(r.faults.empty());
+  CHECK(r.records == 3);
+  CHECK_THROWS(WriteExport(store, 1, "/nonexistent/n0.jsonl"));
+}
+
 // Relays behind one front, killed at random while they post and export. What the clients counted outside is
 // what the exports say, but for what is recorded as unattested.
 TEST_CASE("the summed ledgers of relays killed at random equal what was served") {
@@ -421,6 +492,7 @@
   }
   CHECK(desk.Read().use_us == served_us);
   CHECK(desk.Read().unattested == 0);
+  CHECK(desk.Reader().Verify().empty());
 }
 
 }  // namespace
