--- a/src/net/counters.cpp
+++ b/src/core/counters.cpp
@@ -1,4 +1,4 @@
-#include "net/counters.h"
+#include "core/counters.h"
 
 namespace stoatrun {
 
--- a/src/net/terms.cpp
+++ b/src/core/terms.cpp
@@ -1,8 +1,8 @@
-#include "net/terms.h"
+#include "core/terms.h"
 
 #include <algorithm>
 
-#include "net/line.h"
+#include "base/text.h"
 
 namespace stoatrun {
 namespace {
@@ -76,6 +76,8 @@
 
 }  // namespace
 
+std::string_view ReportIn(std::string_view said) { return SplitWord(Stripped(said)).second; }
+
 void CarryOut(const ah::Action& action, Orders& orders) { std::visit(Visitor{orders}, action); }
 
 ah::Event Arrived(SlotId authorisation, const Opening& opening) {
--- a/src/net/discovery.cpp
+++ b/src/inventory/discovery.cpp
@@ -1,12 +1,12 @@
-#include "net/discovery.h"
+#include "inventory/discovery.h"
 
 #include <simdjson.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "net/config.h"
-#include "net/line.h"
+#include "base/text.h"
+#include "inventory/host_list.h"
 #include "ops/log.h"
 #include "settings/json.h"
 
@@ -151,7 +151,7 @@
     simdjson::dom::parser parser;
     simdjson::dom::element root;
     if (parser.parse(simdjson::padded_string(line)).get(root) != simdjson::SUCCESS) {
-      LogLine(Level::kWarn, "discovery sent what is not JSON");
+      LogLine(Level::kWarn, "discovery sent what is not JSON,").Field("size", line.size());
       return false;
     }
     list = ReadHostList(root);
--- a/src/ops/log.h
+++ b/src/ops/log.h
@@ -14,7 +14,7 @@
 #include <optional>
 #include <string_view>
 
-#include "net/clock.h"
+#include "base/clock.h"
 
 namespace stoatrun {
 
--- a/src/ops/operator_file.cpp
+++ b/src/ops/operator_file.cpp
@@ -13,7 +13,7 @@
 #include <optional>
 #include <sstream>
 
-#include "net/stream.h"
+#include "base/stream.h"
 
 namespace stoatrun {
 namespace {
