--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -2,7 +2,7 @@
 #include <iostream>
 
 #include "cli/cli.h"
-#include "ops/config.h"
+#include "net/config.h"
 #include "ops/operator_file.h"
 
 namespace stoatrun::cli {
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -6,7 +6,7 @@
 #include <iostream>
 
 #include "ledger/io/store.h"
-#include "ops/config.h"
+#include "net/config.h"
 #include "ops/operator_file.h"
 
 namespace stoatrun::cli {
--- a/src/cli/ledger_setup.h
+++ b/src/cli/ledger_setup.h
@@ -4,8 +4,8 @@
 
 #include "ledger/io/courier.h"
 #include "ledger/io/keeper.h"
+#include "net/config.h"
 #include "operator.pb.h"
-#include "ops/config.h"
 
 namespace stoatrun::cli {
 
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -8,11 +8,11 @@
 #include <exception>
 #include <optional>
 
-#include "base/deadlines.h"
 #include "cli/cli.h"
 #include "cli/ledger_setup.h"
-#include "cli/service.h"
-#include "ops/config.h"
+#include "net/config.h"
+#include "net/deadlines.h"
+#include "net/relay.h"
 #include "ops/log.h"
 #include "ops/operator_file.h"
 
@@ -28,9 +28,9 @@
   SetLogForm(log.form() == config::Log::JSON ? LogForm::kJson : LogForm::kText);
 }
 
-class Program {
+class Service {
  public:
-  Program(const Common& common, const Config& config, const config::OperatorFile& file)
+  Service(const Common& common, const Config& config, const config::OperatorFile& file)
       : common_(common), file_(file) {
     if (file.has_ledger()) {
       keeper_.emplace(loop_, KeeperSetupOf(config, file.ledger()), [] {
@@ -65,7 +65,7 @@
     w.data = this;
     ev_signal_start(loop_.Raw(), &w);
   }
-  static Program& Of(ev_signal* w) { return *static_cast<Program*>(w->data); }
+  static Service& Of(ev_signal* w) { return *static_cast<Service*>(w->data); }
   static void OnEnd(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).relay_->Drain(); }
   static void OnPrint(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) { Of(w).Print(); }
   static void OnReload(struct ev_loop* /*loop*/, ev_signal* w, int /*events*/) {
@@ -103,7 +103,7 @@
   Loop loop_;
   std::optional<ledger::Keeper> keeper_;
   std::optional<ledger::Courier> courier_;
-  std::optional<Service> relay_;  // Ends before what it tells.
+  std::optional<Relay> relay_;  // Ends before what it tells.
   ev_signal term_{}, interrupt_{}, usr1_{}, hangup_{};
 };
 
@@ -121,7 +121,7 @@
   const config::OperatorFile file = LoadOperatorFile(common.operator_path);
   const Config config = LoadConfig(LoadAt::kStart);
   SetUpLog(file.log(), config.log_level);
-  Program(common, config, file).Serve(config);
+  Service(common, config, file).Serve(config);
   return kDone;
 }
 
--- a/src/fronts/line/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -1,15 +1,16 @@
-#include "fronts/line/acquirer.h"
+#include "net/acquirer.h"
 
+#include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <cerrno>
 #include <string>
+#include <system_error>
 
-#include "base/text.h"
-#include "fronts/line/flow.h"
 #include "ops/log.h"
 
 namespace stoatrun {
@@ -25,10 +26,9 @@
 // Descriptors for what is neither client nor leg: listener, loop, log, discovery, and a probe to each host.
 constexpr std::size_t kReserve = 48;
 constexpr std::size_t kLeastCallers = 16;  // So many may always be heard, however many clients stand.
-// `d` counts from the client's sending; the line took a while to come, and the answer takes one to get there.
-constexpr Micros kOnTheWay = std::chrono::milliseconds(4);
 constexpr Micros kMayAsk = std::chrono::milliseconds(250);  // A first line comes with its connection.
-constexpr std::string_view kFailureLine = "ERR\r\n", kBusyLine = "BUSY\r\n", kMoveLine = "MOVE\r\n";
+constexpr int kAcceptsATurn = 64;
+constexpr std::string_view kFailureLine = "ERR\r\n", kBusyLine = "BUSY\r\n";
 
 // The start of what a client sent, fit for a log.
 std::string Shown(std::string_view in) {
@@ -41,33 +41,78 @@
 // request read as lines of the first.
 bool AsksAgain(std::string_view behind) { return behind.starts_with("OPEN "); }
 
+int OpenSpare() { return open("/dev/null", O_RDONLY | O_CLOEXEC); }
+
 }  // namespace
 
-Acquirer::Acquirer(Loop& loop, FrontEvents& events, FlowEvents& flow, HostSide& hosts, Counters& counters,
-                   std::size_t descriptors)
+Acquirer::Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors)
     : loop_(loop),
       events_(events),
-      flow_(flow),
-      hosts_(hosts),
       counters_(counters),
-      listener_(loop, *this),
+      spare_fd_(OpenSpare()),
       descriptors_(std::max(descriptors, kReserve + 2 * kLeastCallers)) {
+  ev_init(&accept_, OnAccept);
+  accept_.data = this;
   loop_.AddSweeper([this] { clients_.Sweep(); });
 }
 
-void Acquirer::OnAccepted(int fd) {
-  ++counters_.accepted;
-  Client& c = clients_.Add(*this);
-  c.place = callers_.insert(callers_.end(), c.id);
-  c.since = loop_.Now();
-  c.deadline.Set(loop_.Now() + kHeadWait);
-  c.stream.Adopt(fd);
-  MakeRoom();
+Acquirer::~Acquirer() {
+  StopListening();
+  if (spare_fd_ >= 0) close(spare_fd_);
+}
+
+void Acquirer::Listen(const Address& address) {
+  const auto fail = [](const char* what) { throw std::system_error(errno, std::generic_category(), what); };
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0) fail("socket");
+  const int on = 1;  // A restarted relay takes its address again though old connections linger there.
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind(fd_, reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0) fail("bind");
+  if (listen(fd_, SOMAXCONN) != 0) fail("listen");
+  ev_io_set(&accept_, fd_, EV_READ);
+  ev_io_start(loop_.Raw(), &accept_);
+}
+
+void Acquirer::StopListening() {
+  if (fd_ < 0) return;
+  Accept();  // What already waits in the queue would be reset.
+  ev_io_stop(loop_.Raw(), &accept_);
+  close(fd_);
+  fd_ = -1;
+}
+
+int Acquirer::Port() const {
+  sockaddr_in bound{};
+  socklen_t size = sizeof bound;
+  return getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) == 0 ? ntohs(bound.sin_port) : 0;
+}
+
+void Acquirer::OnAccept(struct ev_loop* /*loop*/, ev_io* w, int /*events*/) {
+  static_cast<Acquirer*>(w->data)->Accept();
 }
 
-void Acquirer::OnAcceptFailed(int error) {
-  ++counters_.accept_failed;
-  LogLine(Level::kWarn, "accept failed").Field("errno", error);
+void Acquirer::Accept() {
+  for (int k = 0; k < kAcceptsATurn; ++k) {
+    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (errno == EAGAIN) return;
+      if ((errno == EMFILE || errno == ENFILE) && spare_fd_ >= 0) {
+        if (TurnAway()) continue;
+        return;  // Nobody waits: the want of a descriptor is told before the queue is looked at.
+      }
+      ++counters_.accept_failed;
+      LogLine(Level::kWarn, "accept failed").Field("errno", errno);
+      return;
+    }
+    ++counters_.accepted;
+    Client& c = clients_.Add(*this);
+    c.place = callers_.insert(callers_.end(), c.id);
+    c.since = loop_.Now();
+    c.deadline.Set(loop_.Now() + kHeadWait);
+    c.stream.Adopt(fd);
+    MakeRoom();
+  }
 }
 
 // Of the clients that were opened each needs two descriptors, for itself and its leg.
@@ -104,17 +149,27 @@
   clients_.Erase(c.id);
 }
 
-void Acquirer::OnSurplus(int fd) {
-  ++counters_.accept_failed;
-  std::array<char, kMaxLine> unread{};  // Bytes left unread would turn the end into a reset.
-  const bool told = write(fd, kBusyLine.data(), kBusyLine.size()) > 0;
-  shutdown(fd, SHUT_WR);
-  const bool asked = read(fd, unread.data(), unread.size()) > 0;
-  if (!wants_.Allows(loop_.Now())) return;
-  LogLine(Level::kWarn, "turned away without a descriptor,")
-      .Field("asked", asked)
-      .Field("told", told)
-      .Field("left_out", wants_.TakeLeftOut());
+// Without a descriptor the queue would stay ready and spin the loop, and who waits in it would get no answer.
+// The spare descriptor takes one caller at a time and tells it to come again.
+bool Acquirer::TurnAway() {
+  close(spare_fd_);
+  const int surplus = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (surplus >= 0) {
+    ++counters_.accept_failed;
+    std::array<char, kMaxLine> unread{};  // Bytes left unread would turn the end into a reset.
+    const bool told = write(surplus, kBusyLine.data(), kBusyLine.size()) > 0;
+    shutdown(surplus, SHUT_WR);
+    const bool asked = read(surplus, unread.data(), unread.size()) > 0;
+    if (wants_.Allows(loop_.Now())) {
+      LogLine(Level::kWarn, "turned away without a descriptor,")
+          .Field("asked", asked)
+          .Field("told", told)
+          .Field("left_out", wants_.TakeLeftOut());
+    }
+    close(surplus);
+  }
+  spare_fd_ = OpenSpare();
+  return surplus >= 0;
 }
 
 bool Acquirer::Asking() {
@@ -137,33 +192,7 @@
   c->head_size = 0;
 }
 
-std::unique_ptr<Flow> Acquirer::MakeFlow(SlotId owner) { return std::make_unique<LineFlow>(flow_, owner); }
-
-void Acquirer::Decline(SlotId client, Micros come_back) {
-  if (come_back.count() <= 0) return Finish(client, kBusyLine);
-  Finish(client, "BUSY " + std::to_string((come_back.count() + 999) / 1000) + "\r\n");
-}
-
-void Acquirer::Fail(SlotId client) { Finish(client, kFailureLine); }
-void Acquirer::Move(SlotId client) { Finish(client, kMoveLine); }
-
-void Acquirer::Client::SayTo(Stream& leg, Micros wait) const {
-  if (!waits) return leg.Write({before_wait, "\r\n"});
-  std::array<char, 24> text{};
-  const auto ms = std::max<Micros::rep>(1, wait.count() / 1000);
-  const char* end = std::to_chars(text.data(), text.data() + text.size(), ms).ptr;
-  leg.Write({before_wait, std::string_view(text.data(), static_cast<std::size_t>(end - text.data())),
-             after_wait, "\r\n"});
-}
-
-std::string_view Acquirer::Objection(const OpenHead& head) const {
-  if (!events_.ClassNamed(head.class_name)) return "unknown class";
-  // Ids are new for every connection. A second one under an id that is open would be told apart by no host.
-  if (events_.IsOpen(head.id)) return "id of an open one";
-  return {};
-}
-
-void Acquirer::Finish(SlotId client, std::string_view last_line) {
+void Acquirer::End(SlotId client, std::string_view last_line) {
   Client* c = clients_.Find(client);
   if (c == nullptr || c->state == Client::State::kEnding) return;
   // Closing at once would answer bytes on their way with a reset, which may overtake the last line.
@@ -207,11 +236,10 @@
         .Field("line", Shown(c.stream.In()))
         .Field("left_out", bad_lines_.TakeLeftOut());
   }
-  Finish(c.id, kFailureLine);
+  End(c.id, kFailureLine);
 }
 
 void Acquirer::ReadHead(Client& c) {
-  c.stream.Keep();  // The head's views are good until it is answered.
   for (;;) {
     const std::string_view in = c.stream.In();
     const auto size = LineLength(in);
@@ -232,36 +260,20 @@
     const auto head = ParseOpen(line);
     if (!head) return Malformed(c, "not of the form");
     if (AsksAgain(in.substr(*size))) return Malformed(c, "more than one");
-    if (const auto objection = Objection(*head); !objection.empty()) return Malformed(c, objection);
+    if (const auto objection = events_.Objection(*head); !objection.empty()) return Malformed(c, objection);
     if (!TakesAnother()) {
       ++counters_.no_room;
       if (wants_.Allows(loop_.Now())) {
         LogLine(Level::kWarn, "no descriptors for another client,").Field("left_out", wants_.TakeLeftOut());
       }
-      return Finish(c.id, kBusyLine);
+      return End(c.id, kBusyLine);
     }
     callers_.erase(c.place);
     c.state = Client::State::kOpened;
     c.head_size = *size;
     c.deadline.Cancel();
     const SlotId id = c.id;
-    c.before_wait = head->before_wait;
-    c.after_wait = head->after_wait;
-    c.waits = head->waits;
-    Arrival arrival;
-    arrival.front = this;
-    arrival.hosts = &hosts_;
-    arrival.hello = &c;
-    arrival.client = id;
-    arrival.opening.class_index = *events_.ClassNamed(head->class_name);
-    arrival.opening.deadline =
-        loop_.Now() + std::max(Micros(0), Micros(std::chrono::milliseconds(head->wait_ms)) - kOnTheWay);
-    arrival.opening.load = head->load;
-    arrival.opening.again = head->again;
-    arrival.id = head->id;
-    arrival.group = head->tenant;
-    arrival.resume_at = head->at;
-    const SlotId owner = events_.OnOpen(arrival);
+    const SlotId owner = events_.OnOpen(id, *head);
     if (Client* opened = clients_.Find(id)) opened->owner = owner;
     MakeRoom();
     return;
--- /dev/null
+++ b/src/net/acquirer.h
@@ -0,0 +1,100 @@
+// The acquirer side: takes client connections, reads their first line, answers them and ends them.
+#ifndef STOATRUN_NET_ACQUIRER_H_
+#define STOATRUN_NET_ACQUIRER_H_
+
+#include <ev.h>
+
+#include <cstddef>
+#include <list>
+#include <string_view>
+
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/line.h"
+#include "net/slots.h"
+#include "net/stream.h"
+#include "ops/log.h"
+
+namespace stoatrun {
+
+class AcquirerEvents {
+ public:
+  virtual ~AcquirerEvents() = default;
+  // Why a first line of the right form is no request here; empty: it is one.
+  virtual std::string_view Objection(const OpenHead& head) = 0;
+  // Gives the number by which the client's further events name it. The head's views are good until Up or End.
+  virtual SlotId OnOpen(SlotId client, const OpenHead& head) = 0;
+  // Of a client that was opened: bytes or the end of its sending, and room for more.
+  virtual void OnClientBytes(SlotId owner) = 0;
+  virtual void OnClientEnd(SlotId owner, StreamEnd end) = 0;
+  virtual void OnClientRoom(SlotId owner) = 0;
+};
+
+class Acquirer : public StreamHandler {
+ public:
+  // `descriptors`: what the whole relay may hold.
+  Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors);
+  ~Acquirer() override;
+  Acquirer(const Acquirer&) = delete;
+  Acquirer& operator=(const Acquirer&) = delete;
+
+  void Listen(const Address& address);  // Throws std::system_error.
+  void StopListening();
+  int Port() const;
+
+  Stream* Find(SlotId client);
+  // The first line is answered: what the client sends from here on is its own.
+  void Up(SlotId client, std::string_view line);
+  // Sends a last line (or none) and ends the connection in order.
+  void End(SlotId client, std::string_view last_line);
+  void Reset(SlotId client);
+  // Is anyone there that may yet ask, or still reads its answer? Callers that have said nothing of use for a
+  // while and those that do not end are not waited for.
+  bool Asking();
+
+  void OnBytes(SlotId id) override;
+  void OnDropped(SlotId id, std::size_t size) override;
+  void OnEnd(SlotId id, StreamEnd end) override;
+  void OnRoom(SlotId id) override;
+
+ private:
+  struct Client {
+    Client(SlotId slot, Acquirer& all)
+        : id(slot),
+          stream(all.loop_.Raw(), all, slot),
+          deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
+    enum class State { kHead, kOpened, kEnding };
+    SlotId id, owner;
+    Stream stream;
+    Deadline deadline;
+    State state = State::kHead;
+    std::list<SlotId>::iterator place{};  // Among the callers or the ending.
+    Micros since{0};                      // Accepted, or ended by us.
+    std::size_t head_size = 0, dropped = 0;
+  };
+
+  static void OnAccept(struct ev_loop* loop, ev_io* w, int events);
+  void Accept();
+  bool TurnAway();  // False: nobody waited.
+  void Due(SlotId id);
+  void ReadHead(Client& c);
+  void Malformed(Client& c, std::string_view why);
+  bool TakesAnother() const;  // Are there descriptors for one more client and its leg?
+  void MakeRoom();
+  void Erase(Client& c);
+
+  Loop& loop_;
+  AcquirerEvents& events_;
+  Counters& counters_;
+  ev_io accept_{};
+  int fd_ = -1;
+  int spare_fd_ = -1;
+  const std::size_t descriptors_;
+  Slots<Client> clients_;
+  std::list<SlotId> callers_, ending_;  // Without a first line, and answered; oldest first.
+  LogLimit bad_lines_, wants_;
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_ACQUIRER_H_
--- a/src/base/clock.h
+++ b/src/net/clock.h
@@ -1,6 +1,6 @@
 // Time of the relay: whole microseconds on the monotonic clock, read once a turn of the loop.
-#ifndef STOATRUN_BASE_CLOCK_H_
-#define STOATRUN_BASE_CLOCK_H_
+#ifndef STOATRUN_NET_CLOCK_H_
+#define STOATRUN_NET_CLOCK_H_
 
 #include <algorithm>
 #include <chrono>
@@ -50,4 +50,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_BASE_CLOCK_H_
+#endif  // STOATRUN_NET_CLOCK_H_
--- a/src/ops/config.h
+++ b/src/net/config.h
@@ -1,6 +1,8 @@
 // What a relay is told at its start: the environment and the configuration file.
-#ifndef STOATRUN_OPS_CONFIG_H_
-#define STOATRUN_OPS_CONFIG_H_
+#ifndef STOATRUN_NET_CONFIG_H_
+#define STOATRUN_NET_CONFIG_H_
+
+#include <simdjson.h>
 
 #include <cstddef>
 #include <optional>
@@ -8,8 +10,8 @@
 #include <string>
 #include <string_view>
 
-#include "base/stream.h"
-#include "inventory/hosts.h"
+#include "net/hosts.h"
+#include "net/stream.h"
 #include "ops/log.h"
 #include "settings/settings.h"
 
@@ -32,6 +34,9 @@
   std::string settings_text;  // As the file has them, to tell at a reload whether they changed.
 };
 
+// Throws arrowhatch::settings::FormError. Entries without an id or an address are skipped.
+HostList ReadHostList(const simdjson::dom::element& e);
+
 // Throws ConfigError. At the start the environment's values go before the file's. At a reload the file's
 // `discovery` goes first: the environment still names the address of the start.
 enum class LoadAt { kStart, kReload };
@@ -41,4 +46,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_OPS_CONFIG_H_
+#endif  // STOATRUN_NET_CONFIG_H_
--- a/src/core/counters.cpp
+++ b/src/net/counters.cpp
@@ -1,4 +1,4 @@
-#include "core/counters.h"
+#include "net/counters.h"
 
 namespace stoatrun {
 
--- a/src/core/counters.h
+++ b/src/net/counters.h
@@ -1,6 +1,6 @@
 // What the relay took in, sent and answered; printed on SIGUSR1 and at exit.
-#ifndef STOATRUN_CORE_COUNTERS_H_
-#define STOATRUN_CORE_COUNTERS_H_
+#ifndef STOATRUN_NET_COUNTERS_H_
+#define STOATRUN_NET_COUNTERS_H_
 
 #include <cstdint>
 
@@ -24,4 +24,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_CORE_COUNTERS_H_
+#endif  // STOATRUN_NET_COUNTERS_H_
--- a/src/base/deadlines.cpp
+++ b/src/net/deadlines.cpp
@@ -1,4 +1,4 @@
-#include "base/deadlines.h"
+#include "net/deadlines.h"
 
 #include <algorithm>
 #include <stdexcept>
--- a/src/inventory/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,12 +1,12 @@
-#include "inventory/discovery.h"
+#include "net/discovery.h"
 
 #include <simdjson.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "base/text.h"
-#include "inventory/host_list.h"
+#include "net/config.h"
+#include "net/line.h"
 #include "ops/log.h"
 #include "settings/json.h"
 
--- a/src/inventory/discovery.h
+++ b/src/net/discovery.h
@@ -1,6 +1,6 @@
 // Discovery: holds a watch on the list of issuer hosts and renews it when it ends, fails or falls silent.
-#ifndef STOATRUN_INVENTORY_DISCOVERY_H_
-#define STOATRUN_INVENTORY_DISCOVERY_H_
+#ifndef STOATRUN_NET_DISCOVERY_H_
+#define STOATRUN_NET_DISCOVERY_H_
 
 #include <http_parser.h>
 
@@ -8,14 +8,21 @@
 #include <string>
 #include <string_view>
 
-#include "base/deadlines.h"
-#include "base/slots.h"
-#include "base/stream.h"
-#include "core/counters.h"
-#include "inventory/hosts.h"
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/hosts.h"
+#include "net/slots.h"
+#include "net/stream.h"
 
 namespace stoatrun {
 
+class DiscoveryEvents {
+ public:
+  virtual ~DiscoveryEvents() = default;
+  virtual void OnHosts(const HostList& list) = 0;
+  virtual void OnWatchFailed() = 0;
+};
+
 class Discovery : public StreamHandler {
  public:
   Discovery(Loop& loop, DiscoveryEvents& events, Counters& counters, const Address& address, std::string host,
@@ -64,4 +71,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_INVENTORY_DISCOVERY_H_
+#endif  // STOATRUN_NET_DISCOVERY_H_
--- a/src/inventory/hosts.h
+++ b/src/net/hosts.h
@@ -1,6 +1,6 @@
 // A list of issuer hosts as a source of entries gives it: discovery here, another inventory later.
-#ifndef STOATRUN_INVENTORY_HOSTS_H_
-#define STOATRUN_INVENTORY_HOSTS_H_
+#ifndef STOATRUN_NET_HOSTS_H_
+#define STOATRUN_NET_HOSTS_H_
 
 #include <cstdint>
 #include <string>
@@ -24,13 +24,6 @@
   std::vector<HostEntry> entries;
 };
 
-class DiscoveryEvents {
- public:
-  virtual ~DiscoveryEvents() = default;
-  virtual void OnHosts(const HostList& list) = 0;
-  virtual void OnWatchFailed() = 0;
-};
-
 }  // namespace stoatrun
 
-#endif  // STOATRUN_INVENTORY_HOSTS_H_
+#endif  // STOATRUN_NET_HOSTS_H_
--- /dev/null
+++ b/src/net/issuer.cpp
@@ -0,0 +1,270 @@
+#include "net/issuer.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "net/line.h"
+#include "ops/log.h"
+
+namespace stoatrun {
+namespace {
+
+constexpr Micros kProbeWait = std::chrono::milliseconds(300);  // A figure later than this misleads a landing.
+constexpr double kIdlePart = 0.8;  // Of the host's idle time: we end an idle connection before the host does.
+constexpr double kDrainPart = 0.6;  // Of the grace after a drain was told; the rest is for a busy machine.
+constexpr Micros kStepWait = Micros(1);  // The next step of the loop.
+
+// What the first word of a host's first line means.
+LegEnd MeaningOf(std::string_view word) {
+  if (word == "BUSY") return LegEnd::kTurnedAway;
+  if (word == "BYE") return LegEnd::kServed;
+  if (word == "MOVE") return LegEnd::kSentAway;
+  return LegEnd::kError;
+}
+
+}  // namespace
+
+Issuer::Issuer(Loop& loop, IssuerEvents& events, Counters& counters, const Times& times)
+    : loop_(loop), events_(events), counters_(counters), times_(times) {
+  loop_.AddSweeper([this] {
+    links_.Sweep();
+    drains_.Sweep();
+  });
+}
+
+HostNumber Issuer::NumberOf(const std::string& id) {
+  const auto [it, fresh] = numbers_.try_emplace(id, static_cast<HostNumber>(hosts_.size()));
+  if (fresh) {
+    hosts_.emplace_back();
+    hosts_.back().id = id;
+  }
+  return it->second;
+}
+
+std::optional<HostNumber> Issuer::Known(const std::string& id) const {
+  const auto it = numbers_.find(id);
+  return it == numbers_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Issuer::TakeList(const HostList& list) {
+  std::vector<bool> named(hosts_.size() + list.entries.size());
+  for (const HostEntry& e : list.entries) {
+    const HostNumber n = NumberOf(e.id);
+    named[n] = true;
+    Host& h = hosts_[n];
+    if (const auto address = Address::Parse(e.address)) h.address = address;
+    h.phase = e.phase;
+  }
+  for (HostNumber n = 0; n < hosts_.size(); ++n) {
+    Host& h = hosts_[n];
+    if (list.complete && !named[n]) h.phase = HostPhase::kGone;
+    if (h.phase == HostPhase::kReady) {
+      h.watched_drain = false;
+    } else if (!h.watched_drain) {
+      // Guards the rule of careful drains: a leg that still connects would send its first byte too late.
+      h.watched_drain = true;
+      const auto grace =
+          Micros(static_cast<std::int64_t>(static_cast<double>(times_.stop_sending.count()) * kDrainPart));
+      drains_.Add(*this, n).deadline.Set(loop_.Now() + grace);
+    }
+  }
+}
+
+void Issuer::StopSending(HostNumber host) {
+  if (hosts_[host].phase == HostPhase::kReady) return;
+  std::vector<SlotId> late;
+  links_.ForEach([&](Link& l) {
+    if (l.host == host && (!l.sent || (l.probe && l.up))) late.push_back(l.id);
+  });
+  for (const SlotId id : late) {
+    Link* l = links_.Find(id);
+    if (l == nullptr) continue;
+    if (l->probe) {
+      EndProbe(*l, false, {}, false);
+    } else {
+      EndLeg(*l, LegEnd::kNotConnected, {});
+    }
+  }
+}
+
+SlotId Issuer::Open(SlotId owner, HostNumber host, const LegWork& work) {
+  ++counters_.legs;
+  Link& leg = links_.Add(*this, host, false);
+  leg.owner = owner;
+  leg.work = work;
+  leg.give_up = loop_.Now() + std::max(work.wait, Micros(0));
+  Start(leg);
+  return leg.id;
+}
+
+void Issuer::Start(Link& link) {
+  const Host& h = hosts_[link.host];
+  const bool begun = h.address && link.stream.Connect(*h.address);
+  link.deadline.Set(begun ? std::min(link.give_up, loop_.Now() + times_.connect) : loop_.Now() + kStepWait);
+}
+
+void Issuer::Probe(HostNumber host) {
+  ++counters_.probes;
+  Host& h = hosts_[host];
+  Link* link = links_.Find(h.idle_probe);
+  h.idle_probe = {};
+  if (link != nullptr) {
+    link->up = false;
+    link->give_up = loop_.Now() + kProbeWait;
+    link->deadline.Set(link->give_up);
+    link->stream.Write({"STATS\r\n"});
+    return;
+  }
+  Link& fresh = links_.Add(*this, host, true);
+  fresh.give_up = loop_.Now() + kProbeWait;
+  Start(fresh);
+}
+
+Stream* Issuer::Find(SlotId leg) {
+  Link* l = links_.Find(leg);
+  return l == nullptr ? nullptr : &l->stream;
+}
+
+void Issuer::Close(SlotId leg) {
+  Link* l = links_.Find(leg);
+  if (l == nullptr) return;
+  l->stream.Close();
+  l->deadline.Cancel();
+  links_.Erase(leg);
+}
+
+void Issuer::Reset(SlotId leg) {
+  Link* l = links_.Find(leg);
+  if (l == nullptr) return;
+  l->stream.Reset();
+  Close(leg);
+}
+
+void Issuer::EndLeg(Link& leg, LegEnd end, std::string_view line) {
+  const SlotId owner = leg.owner;
+  if (end == LegEnd::kNotConnected) ++counters_.legs_not_connected;
+  if (end == LegEnd::kBroken) ++counters_.legs_cut;
+  if (end == LegEnd::kTimedOut) ++counters_.legs_timed_out;
+  if (end == LegEnd::kTurnedAway) ++counters_.legs_turned_away;
+  if (end == LegEnd::kError) ++counters_.legs_error;
+  const std::string said(line);  // Its buffer goes with the leg.
+  // Closed before it is told: what follows may open the next leg, and two must never be out.
+  Close(leg.id);
+  events_.OnLegEnd(owner, end, said);
+}
+
+void Issuer::EndProbe(Link& link, bool ok, std::string_view report, bool keep) {
+  const HostNumber host = link.host;
+  const bool told = !(link.probe && link.up);  // An idle connection owes no answer.
+  Host& h = hosts_[host];
+  const std::string said(report);
+  if (keep && h.phase == HostPhase::kReady && links_.Find(h.idle_probe) == nullptr) {
+    link.up = true;
+    h.idle_probe = link.id;
+    link.stream.Consume(link.stream.In().size());
+    link.deadline.Set(loop_.Now() + Micros(static_cast<std::int64_t>(
+                                        static_cast<double>(times_.idle_close.count()) * kIdlePart)));
+  } else {
+    if (h.idle_probe == link.id) h.idle_probe = {};
+    Close(link.id);
+  }
+  if (!told) return;
+  if (!ok) ++counters_.probes_failed;
+  events_.OnProbe(host, ok, said);
+}
+
+void Issuer::Due(SlotId id) {
+  Link* l = links_.Find(id);
+  if (l == nullptr) return;
+  if (l->probe) {
+    EndProbe(*l, false, {}, false);
+  } else if (!l->up) {
+    // What was never written whole has never run, whatever the reason for which the wait ended.
+    EndLeg(*l, l->sent ? LegEnd::kTimedOut : LegEnd::kNotConnected, {});
+  }
+}
+
+void Issuer::OnConnected(SlotId id) {
+  Link* l = links_.Find(id);
+  if (l == nullptr) return;
+  l->deadline.Set(l->give_up);
+  if (l->probe) {
+    l->stream.Write({"STATS\r\n"});
+  } else if (l->work.tells_wait) {
+    std::array<char, 24> text{};
+    const auto wait = std::max<Micros::rep>(1, (l->give_up - loop_.Now()).count() / 1000);
+    const char* end = std::to_chars(text.data(), text.data() + text.size(), wait).ptr;
+    l->stream.Write({l->work.before_wait,
+                     std::string_view(text.data(), static_cast<std::size_t>(end - text.data())),
+                     l->work.after_wait, "\r\n"});
+  } else {
+    l->stream.Write({l->work.before_wait, "\r\n"});
+  }
+  l->sent = l->stream.Queued() == 0;
+}
+
+void Issuer::OnRoom(SlotId id) {
+  Link* l = links_.Find(id);
+  if (l == nullptr) return;
+  l->sent = true;
+  if (!l->probe && l->up) events_.OnLegRoom(l->owner);
+}
+
+void Issuer::OnBytes(SlotId id) {
+  Link* l = links_.Find(id);
+  if (l == nullptr) return;
+  if (l->probe) {
+    ReadProbe(*l);
+  } else if (l->up) {
+    events_.OnLegBytes(l->owner);
+  } else {
+    ReadLeg(*l);
+  }
+}
+
+void Issuer::ReadLeg(Link& leg) {
+  const std::string_view in = leg.stream.In();
+  const auto size = LineLength(in);
+  if (!size) {
+    if (in.size() >= kMaxLine) EndLeg(leg, LegEnd::kError, {});
+    return;
+  }
+  const std::string_view line = in.substr(0, *size);
+  const std::string_view word = SplitWord(Stripped(line)).first;
+  if (word != "UP") {
+    EndLeg(leg, MeaningOf(word), line);
+    return;
+  }
+  leg.up = true;
+  leg.deadline.Cancel();
+  const std::string said(line);
+  leg.stream.Consume(*size);
+  events_.OnLegUp(leg.owner, said);
+}
+
+void Issuer::ReadProbe(Link& link) {
+  const std::string_view in = link.stream.In();
+  const auto size = LineLength(in);
+  if (!size) {
+    if (in.size() >= kMaxLine) EndProbe(link, false, {}, false);
+    return;
+  }
+  const auto [word, report] = SplitWord(Stripped(in.substr(0, *size)));
+  const bool ok = word == "PONG" && !link.up;
+  EndProbe(link, ok, report, ok);
+}
+
+void Issuer::OnEnd(SlotId id, StreamEnd end) {
+  Link* l = links_.Find(id);
+  if (l == nullptr) return;
+  if (l->probe) {
+    EndProbe(*l, false, {}, false);
+  } else if (l->up) {
+    events_.OnLegFinished(l->owner, end);
+  } else {
+    EndLeg(*l, l->sent ? LegEnd::kBroken : LegEnd::kNotConnected, {});
+  }
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/net/issuer.h
@@ -0,0 +1,129 @@
+// The issuer side: the hosts by number, legs (one attempt each, with a connection of its own) and probes.
+#ifndef STOATRUN_NET_ISSUER_H_
+#define STOATRUN_NET_ISSUER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/hosts.h"
+#include "net/slots.h"
+#include "net/stream.h"
+
+namespace stoatrun {
+
+using HostNumber = std::uint32_t;
+
+// How a leg ended before it was up: one name for each row of the protocol's outcome table.
+enum class LegEnd { kServed, kSentAway, kError, kTurnedAway, kNotConnected, kBroken, kTimedOut, kAbandoned };
+
+struct LegWork {
+  std::string_view before_wait, after_wait;  // Of the client's line, which outlives the leg's set-up.
+  bool tells_wait = true;
+  Micros wait{0};
+};
+
+class IssuerEvents {
+ public:
+  virtual ~IssuerEvents() = default;
+  // A leg is named by the number its opener gave. `line` is what the host said, with its end; empty where it
+  // said nothing.
+  virtual void OnLegUp(SlotId owner, std::string_view line) = 0;
+  virtual void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) = 0;
+  // Of a leg that is up.
+  virtual void OnLegBytes(SlotId owner) = 0;
+  virtual void OnLegFinished(SlotId owner, StreamEnd end) = 0;
+  virtual void OnLegRoom(SlotId owner) = 0;
+  virtual void OnProbe(HostNumber host, bool ok, std::string_view report) = 0;
+};
+
+class Issuer : public StreamHandler {
+ public:
+  struct Times {
+    Micros connect{250'000};
+    Micros idle_close{10'000'000};
+    Micros stop_sending{250'000};
+  };
+
+  Issuer(Loop& loop, IssuerEvents& events, Counters& counters, const Times& times);
+
+  // The number of a host, the same for one id for ever.
+  HostNumber NumberOf(const std::string& id);
+  std::optional<HostNumber> Known(const std::string& id) const;
+  const std::string& IdOf(HostNumber host) const { return hosts_[host].id; }
+  void TakeList(const HostList& list);
+
+  // Starts a leg. Its end is told later, never from within this call.
+  SlotId Open(SlotId owner, HostNumber host, const LegWork& work);
+  void Close(SlotId leg);  // Abandons it, or ends it once up. Nothing more is told.
+  void Reset(SlotId leg);
+  Stream* Find(SlotId leg);
+  void Probe(HostNumber host);
+
+  void OnConnected(SlotId id) override;
+  void OnBytes(SlotId id) override;
+  void OnEnd(SlotId id, StreamEnd end) override;
+  void OnRoom(SlotId id) override;
+
+ private:
+  struct Host {
+    std::string id;
+    std::optional<Address> address;
+    HostPhase phase = HostPhase::kReady;
+    SlotId idle_probe;
+    bool watched_drain = false;
+  };
+  struct Link {  // A leg or a probe's connection.
+    Link(SlotId slot, Issuer& all, HostNumber to, bool is_probe)
+        : id(slot),
+          host(to),
+          probe(is_probe),
+          stream(all.loop_.Raw(), all, slot),
+          deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
+    SlotId id, owner;
+    HostNumber host;
+    bool probe;
+    Stream stream;
+    Deadline deadline;
+    LegWork work;
+    Micros give_up{0};
+    bool sent = false;  // The first line's last byte is with the socket.
+    bool up = false;    // A leg after UP; a probe's connection while it is idle.
+  };
+
+  void Start(Link& link);
+  void Due(SlotId id);
+  void EndLeg(Link& leg, LegEnd end, std::string_view line);
+  void EndProbe(Link& link, bool ok, std::string_view report, bool keep);
+  void ReadLeg(Link& leg);
+  void ReadProbe(Link& link);
+  void StopSending(HostNumber host);
+
+  Loop& loop_;
+  IssuerEvents& events_;
+  Counters& counters_;
+  Times times_;
+  std::vector<Host> hosts_;
+  std::unordered_map<std::string, HostNumber> numbers_;
+  Slots<Link> links_;
+  struct Drain {
+    Drain(SlotId slot, Issuer& all, HostNumber to)
+        : deadline(all.loop_.deadlines, [&all, slot, to] {
+            all.drains_.Erase(slot);
+            all.StopSending(to);
+          }) {}
+    Deadline deadline;
+  };
+  Slots<Drain> drains_;
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_NET_ISSUER_H_
--- a/src/wire/line.cpp
+++ b/src/net/line.cpp
@@ -1,10 +1,9 @@
-#include "wire/line.h"
+#include "net/line.h"
 
 #include <algorithm>
 #include <array>
-#include <utility>
-
-#include "base/text.h"
+#include <charconv>
+#include <cmath>
 
 namespace stoatrun {
 namespace {
@@ -30,8 +29,50 @@
   return !text.empty() && text.size() <= kMaxName && std::all_of(text.begin(), text.end(), of_name);
 }
 
+template <typename T>
+std::optional<T> Number(std::string_view text) {
+  T value{};
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || at != end) return std::nullopt;
+  return value;
+}
+
 }  // namespace
 
+std::optional<std::size_t> LineLength(std::string_view in) {
+  const std::size_t end = in.find('\n');
+  if (end == std::string_view::npos) return std::nullopt;
+  return end + 1;
+}
+
+std::string_view Stripped(std::string_view line) {
+  if (!line.empty() && line.back() == '\n') line.remove_suffix(1);
+  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  return line;
+}
+
+std::pair<std::string_view, std::string_view> SplitWord(std::string_view line) {
+  const std::size_t space = line.find(' ');
+  if (space == std::string_view::npos) return {line, {}};
+  return {line.substr(0, space), line.substr(space + 1)};
+}
+
+std::optional<double> Decimal(std::string_view text) {
+  const auto value = Number<double>(text);
+  return value && std::isfinite(*value) ? value : std::nullopt;
+}
+
+std::optional<double> Amount(std::string_view text) {
+  if (text.empty() || text.front() == '.' || text.back() == '.' ||
+      text.find_first_not_of("0123456789.") != std::string_view::npos) {
+    return std::nullopt;
+  }
+  return Decimal(text);
+}
+
+std::optional<std::uint64_t> Whole(std::string_view text) { return Number<std::uint64_t>(text); }
+
 std::optional<OpenHead> ParseOpen(std::string_view line) {
   if (!Plain(line)) return std::nullopt;
   const auto [verb, rest] = SplitWord(line);
@@ -44,6 +85,7 @@
   head.id = id;
   head.key = key;
   std::array<bool, kFields.size()> seen{};
+  bool waits = false;
   for (std::size_t begin = 0; begin <= fields.size();) {
     const std::size_t end = std::min(fields.find(',', begin), fields.size());
     const std::string_view field = fields.substr(begin, end - begin);
@@ -65,7 +107,7 @@
     } else if (name == "d") {
       const auto wait = Amount(value);
       if (!wait || *wait > kMaxWaitMs) return std::nullopt;
-      head.waits = true;
+      waits = true;
       head.wait_ms = static_cast<std::int64_t>(*wait);
       const auto at = static_cast<std::size_t>(value.data() - line.data());
       head.before_wait = line.substr(0, at);
@@ -80,7 +122,7 @@
     }
   }
   if (head.class_name.empty()) return std::nullopt;
-  if (!head.waits) {  // Only a resumed connection waits without bounds.
+  if (!waits) {  // Only a resumed connection waits without bounds.
     if (head.at.empty()) return std::nullopt;
     head.before_wait = line;
   }
--- a/src/base/text.h
+++ b/src/net/line.h
@@ -1,15 +1,18 @@
-// Readings of text that several protocols share; in place, without copies.
-#ifndef STOATRUN_BASE_TEXT_H_
-#define STOATRUN_BASE_TEXT_H_
+// The line protocol: heads are parsed in place and written out again from the pieces.
+#ifndef STOATRUN_NET_LINE_H_
+#define STOATRUN_NET_LINE_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace stoatrun {
 
+constexpr std::size_t kMaxLine = 4096;  // With its end.
+
 // Where the first line of `in` ends, its end included; nothing while it has none.
 std::optional<std::size_t> LineLength(std::string_view in);
 // A line without CR and LF.
@@ -21,6 +24,18 @@
 std::optional<double> Amount(std::string_view text);
 std::optional<std::uint64_t> Whole(std::string_view text);
 
+// OPEN ID KEY NAME=VALUE,... The views point into the line parsed, which must outlive them.
+struct OpenHead {
+  std::string_view id, key, class_name, tenant, at;
+  std::int64_t wait_ms = 0;
+  std::optional<double> load;
+  bool again = false;
+  // The line without its end, cut around the value of `d`: the deadline is all that a relay writes anew.
+  std::string_view before_wait, after_wait;
+};
+// Takes fields of later protocols; nothing where a known one is empty, named twice or not of its form.
+std::optional<OpenHead> ParseOpen(std::string_view line);
+
 // `inflight=7,queue=2`: calls `each(name, value)` for what is a number and skips the rest.
 template <typename F>
 void EachFigure(std::string_view list, F&& each) {
@@ -36,4 +51,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_BASE_TEXT_H_
+#endif  // STOATRUN_NET_LINE_H_
--- a/src/core/relay.cpp
+++ b/src/net/relay.cpp
@@ -1,6 +1,10 @@
-#include "core/relay.h"
+#include "net/relay.h"
+
+#include <sys/resource.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 #include "ops/log.h"
@@ -11,6 +15,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// `d` counts from the client's sending; the line took a while to come, and the answer takes one to get there.
+constexpr Micros kOnTheWay = milliseconds(4);
+// Clients send every 2 s and are answered at once. A connection whose host says nothing must be given up
+// within 7 s of the last answer.
+constexpr Micros kSilence = milliseconds(4300);
 // After one side has ended, the other has a second to end likewise.
 constexpr Micros kLeaveWait = milliseconds(800);
 // Connections that were open before the start: the run waits 40 s for them.
@@ -29,6 +38,10 @@
 constexpr Micros kMoveFor = milliseconds(1600);
 constexpr Micros kMovedBefore = milliseconds(400);  // Of the end: moved clients still have to hear it.
 
+constexpr std::size_t kUsualDescriptors = 1024;  // Where neither the configuration nor the system tells.
+
+constexpr std::string_view kErrorLine = "ERR\r\n", kMoveLine = "MOVE\r\n";
+
 Micros ShortestAim(const arrowhatch::Settings& s) {
   Micros shortest{0};
   for (const auto& c : s.classes) {
@@ -38,18 +51,34 @@
   return shortest;
 }
 
+Issuer::Times TimesOf(const arrowhatch::settings::SiteSettings& site) {
+  Issuer::Times times;
+  if (site.connect_timeout.count() > 0) times.connect = site.connect_timeout;
+  if (site.idle_close.count() > 0) times.idle_close = site.idle_close;
+  if (site.stop_sending_within.count() > 0) times.stop_sending = site.stop_sending_within;
+  return times;
+}
+
+std::size_t DescriptorsOf(const Config& config) {
+  rlimit files{};
+  std::size_t most = getrlimit(RLIMIT_NOFILE, &files) == 0 ? files.rlim_cur : kUsualDescriptors;
+  if (config.sockets > 0) most = std::min(most, config.sockets);
+  return most;
+}
+
 }  // namespace
 
-Relay::Relay(Loop& loop, const arrowhatch::settings::SiteSettings& site, HostBook& book, Counters& counters,
-             ledger::Meter* meter)
+Relay::Relay(Loop& loop, const Config& config, ledger::Meter* meter)
     : loop_(loop),
-      book_(book),
-      counters_(counters),
       meter_(meter),
-      site_(site),
-      zones_(site.zone_names),
-      slow_message_(ShortestAim(site.module) / 3),
-      balancer_(site.module),
+      start_(config),
+      site_(start_.site),
+      zones_(config.site.zone_names),
+      slow_message_(ShortestAim(config.site.module) / 3),
+      balancer_(config.site.module),
+      acquirer_(loop, *this, counters_, DescriptorsOf(config)),
+      issuer_(loop, *this, counters_, TimesOf(config.site)),
+      discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision),
       drain_(loop.deadlines, [this] { DrainStep(); }) {
   loop_.AddSweeper([this] {
     authorisations_.Sweep();
@@ -57,6 +86,28 @@
   });
 }
 
+void Relay::Start() {
+  acquirer_.Listen(start_.listen);
+  TakeList(start_.known, ListSource::kKnown);
+}
+
+void Relay::Reload(const Config& config) {
+  ++counters_.reloads;
+  LogLine(Level::kInfo, "reload").Field("discovery", config.discovery_text);
+  const auto keeps = [](bool same, std::string_view what) {
+    if (!same) LogLine(Level::kWarn, "reload takes a restart").Field("changed", what);
+  };
+  keeps(config.name == start_.name, "name");
+  keeps(config.listen == start_.listen, "listen");
+  keeps(config.settings_text == start_.settings_text, "settings");
+  discovery_.MoveTo(config.discovery, config.discovery_text);
+}
+
+void Relay::ReloadFailed(std::string_view why) {
+  ++counters_.reloads_failed;
+  LogLine(Level::kError, "reload failed, the old configuration stays").Why(why);
+}
+
 // ---- between the module and the sockets ----
 
 // Events that arise while actions are carried out wait their turn: all are handled in the order in which they
@@ -83,30 +134,30 @@
   }
   a->host = host;
   ++a->legs;
-  a->leg = a->hosts->Open(authorisation, host, *a->hello, std::min(wait, a->opening.deadline - loop_.Now()));
+  const LegWork work{a->before_wait, a->after_wait, true, std::min(wait, a->opening.deadline - loop_.Now())};
+  a->leg = issuer_.Open(authorisation, host, work);
   LogLine(Level::kDebug, "leg")
       .Field("number", a->legs)
       .Field("of", authorisation.Packed())
-      .Field("host", book_.IdOf(host));
+      .Field("host", issuer_.IdOf(host));
 }
 
 void Relay::AbandonLeg(SlotId authorisation, std::uint32_t leg_number) {
   Authorisation* a = authorisations_.Find(authorisation);
   if (a == nullptr || a->state != Authorisation::State::kPending || !a->leg || leg_number + 1 != a->legs)
     return;
-  a->hosts->Close(std::exchange(a->leg, {}));
+  issuer_.Close(std::exchange(a->leg, {}));
   Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, false, {}));
 }
 
-template <typename F>
-void Relay::Answer(SlotId authorisation, F&& answer) {
+void Relay::Answer(SlotId authorisation, std::string_view line) {
   Authorisation* a = authorisations_.Find(authorisation);
   if (a == nullptr || a->state != Authorisation::State::kPending) return;
   if (a->leg) {
-    a->hosts->Close(std::exchange(a->leg, {}));
+    issuer_.Close(std::exchange(a->leg, {}));
     Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, true, {}));
   }
-  answer(*a->front, a->client);
+  acquirer_.End(a->client, line);
   Forget(*a);
 }
 
@@ -123,44 +174,44 @@
 
 void Relay::Decline(SlotId authorisation, Micros come_back) {
   ++counters_.declined;
-  LogLine(Level::kDebug, "decline")
-      .Field("of", authorisation.Packed())
-      .Field("come_back_us", come_back.count());
-  Answer(authorisation, [&](Front& front, SlotId client) { front.Decline(client, come_back); });
+  std::string line = "BUSY";
+  if (come_back.count() > 0) line += ' ' + std::to_string((come_back.count() + 999) / 1000);
+  LogLine(Level::kDebug, "decline").Field("of", authorisation.Packed()).Field("line", line);
+  Answer(authorisation, line + "\r\n");
 }
 
 void Relay::Fail(SlotId authorisation) {
   ++counters_.failed;
-  Answer(authorisation, [](Front& front, SlotId client) { front.Fail(client); });
+  Answer(authorisation, kErrorLine);
 }
 
 void Relay::Move(SlotId authorisation) {
   Authorisation* a = authorisations_.Find(authorisation);
   if (a == nullptr || a->state != Authorisation::State::kStanding) return;
   ++counters_.moved;
-  EndStanding(*a, LegEnd::kAbandoned, ClientEnd::kMove);
+  EndStanding(*a, LegEnd::kAbandoned, kMoveLine);
 }
 
-void Relay::Probe(HostNumber host) { means_.probe(host); }
+void Relay::Probe(HostNumber host) { issuer_.Probe(host); }
 void Relay::WakeIn(Micros delay) { timers_.Add(*this).deadline.Set(loop_.Now() + delay); }
-void Relay::Watch() { means_.watch(); }
+void Relay::Watch() { discovery_.Watch(); }
 
 void Relay::OnProbe(HostNumber host, bool ok, std::string_view report) {
-  LogLine(Level::kDebug, "probe").Field("host", book_.IdOf(host)).Word("ok", ok).Field("report", report);
+  LogLine(Level::kDebug, "probe").Field("host", issuer_.IdOf(host)).Word("ok", ok).Field("report", report);
   Tell(Probed(host, ok, report));
 }
 
 // ---- the list ----
 
 void Relay::TakeList(const HostList& list, ListSource source) {
-  book_.TakeList(list);
+  issuer_.TakeList(list);
   LogLine(Level::kInfo, "list")
       .Field("revision", list.revision)
       .Word("complete", list.complete)
       .Word("changes", !list.complete)
       .Field("entries", list.entries.size());
   Tell(ListOf(
-      list, source, [this](const std::string& id) { return book_.NumberOf(id); }, loop_.clock, zones_));
+      list, source, [this](const std::string& id) { return issuer_.NumberOf(id); }, loop_.clock, zones_));
 }
 
 void Relay::OnHosts(const HostList& list) { TakeList(list, ListSource::kWatch); }
@@ -168,27 +219,34 @@
 
 // ---- authorisations until they stand ----
 
-std::optional<std::size_t> Relay::ClassNamed(std::string_view name) const {
+std::size_t Relay::ClassIndex(std::string_view name) const {
   const auto& names = site_.class_names;
-  const auto it = std::find(names.begin(), names.end(), name);
-  if (it == names.end()) return std::nullopt;
-  return static_cast<std::size_t>(it - names.begin());
+  return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-SlotId Relay::OnOpen(const Arrival& arrival) {
+std::string_view Relay::Objection(const OpenHead& head) {
+  if (ClassIndex(head.class_name) >= site_.class_names.size()) return "unknown class";
+  // Ids are new for every connection. A second one under an id that is open would be told apart by no host.
+  if (open_ids_.contains(std::string(head.id))) return "id of an open one";
+  return {};
+}
+
+SlotId Relay::OnOpen(SlotId client, const OpenHead& head) {
   Authorisation& a = authorisations_.Add(*this);
   const SlotId id = a.id;
-  a.front = arrival.front;
-  a.hosts = arrival.hosts;
-  a.hello = arrival.hello;
-  a.client = arrival.client;
-  a.opening = arrival.opening;
-  a.group = arrival.group;
-  a.open_id = arrival.id;
-  if (!a.open_id.empty()) open_ids_.insert(a.open_id);
-  if (!arrival.resume_at.empty()) {
+  a.client = client;
+  a.open_id = head.id;
+  open_ids_.insert(a.open_id);
+  a.before_wait = head.before_wait;
+  a.after_wait = head.after_wait;
+  a.group = head.tenant;
+  a.opening.class_index = ClassIndex(head.class_name);
+  a.opening.deadline = loop_.Now() + std::max(Micros(0), Micros(milliseconds(head.wait_ms)) - kOnTheWay);
+  a.opening.load = head.load;
+  a.opening.again = head.again;
+  if (!head.at.empty()) {
     ++counters_.resumed;
-    a.resume_at = arrival.resume_at;
+    a.resume_at = head.at;
     a.resume_until = loop_.Now() + kResumeFor;
     TryResume(a);
     return id;
@@ -201,24 +259,25 @@
 // A connection from before the start belongs to its host: there is nothing to decide, and the host may not be
 // in the list yet.
 void Relay::TryResume(Authorisation& a) {
-  const auto host = book_.Known(a.resume_at);
+  const auto host = issuer_.Known(a.resume_at);
   if (!host) {
     a.deadline.Set(loop_.Now() + kResumeRetry);
     return;
   }
   a.host = *host;
-  a.leg = a.hosts->Open(a.id, *host, *a.hello, kResumeWait);
+  const LegWork work{a.before_wait, a.after_wait, !a.after_wait.empty() || a.opening.deadline > loop_.Now(),
+                     kResumeWait};
+  a.leg = issuer_.Open(a.id, *host, work);
 }
 
-void Relay::OnLegUp(SlotId owner, std::string_view said) {
+void Relay::OnLegUp(SlotId owner, std::string_view line) {
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
   ++counters_.up;
   a->state = Authorisation::State::kStanding;
   a->deadline.Cancel();
   if (meter_ != nullptr) a->use = meter_->Begin(a->group, a->opening.class_index);
-  a->flow = a->front->MakeFlow(owner);
-  a->front->Up(a->client, said);
+  acquirer_.Up(a->client, line);
   if (a->resume_at.empty()) {
     Tell(LegIsUp(owner, a->host));
   } else {
@@ -230,27 +289,27 @@
   PumpToClient(owner, false);
 }
 
-void Relay::OnLegEnd(SlotId owner, LegEnd end, std::string_view said) {
+void Relay::OnLegEnd(SlotId owner, LegEnd end, std::string_view line) {
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
   a->leg = {};
   LogLine(Level::kDebug, "leg ended")
       .Field("number", a->legs)
       .Field("of", owner.Packed())
-      .Field("host", book_.IdOf(a->host))
+      .Field("host", issuer_.IdOf(a->host))
       .Field("how", static_cast<int>(end));
   if (!a->resume_at.empty()) {
     if (end != LegEnd::kError && loop_.Now() < a->resume_until) {
       a->deadline.Set(loop_.Now() + kResumeRetry);
     } else {
-      Answer(owner, [](Front& front, SlotId client) { front.Fail(client); });
+      Answer(owner, kErrorLine);
     }
     return;
   }
   const bool finished = end == LegEnd::kServed;  // The host's own word goes to the client as it is.
   const HostNumber host = a->host;
-  if (finished) Answer(owner, [&](Front& front, SlotId client) { front.PassOn(client, said); });
-  Tell(LegEnded(owner, host, end, finished, ReportIn(said)));
+  if (finished) Answer(owner, line);
+  Tell(LegEnded(owner, host, end, finished, SplitWord(Stripped(line)).second));
 }
 
 void Relay::OnClientEnd(SlotId owner, StreamEnd end) {
@@ -262,12 +321,12 @@
     const bool resumed = !a->resume_at.empty();
     const SlotId leg = std::exchange(a->leg, {});
     const HostNumber host = a->host;
-    a->hosts->Close(leg);
+    issuer_.Close(leg);
     // A half-closed client may still listen for its one answer.
     if (end == StreamEnd::kFinished) {
-      a->front->Fail(client);
+      acquirer_.End(client, kErrorLine);
     } else {
-      a->front->Reset(client);
+      acquirer_.Reset(client);
     }
     Forget(*a);
     if (resumed) return;
@@ -279,13 +338,13 @@
   ++counters_.client_left;
   PumpToHost(*a);
   if (end == StreamEnd::kReset) {
-    a->hosts->Reset(a->leg);
-    a->front->Reset(client);
+    issuer_.Reset(a->leg);
+    acquirer_.Reset(client);
     Tell(Left(owner));
-    EndStanding(*a, LegEnd::kAbandoned, ClientEnd::kOrderly);
+    EndStanding(*a, LegEnd::kAbandoned, {});
     return;
   }
-  if (Stream* leg = a->hosts->Find(a->leg)) leg->Finish();
+  if (Stream* leg = issuer_.Find(a->leg)) leg->Finish();
   EndUse(*a);  // The client is done, whatever its host still has to say.
   a->state = Authorisation::State::kLeaving;
   a->deadline.Set(loop_.Now() + kLeaveWait);
@@ -294,14 +353,10 @@
 
 // ---- standing connections ----
 
-void Relay::EndStanding(Authorisation& a, LegEnd end, ClientEnd client) {
+void Relay::EndStanding(Authorisation& a, LegEnd end, std::string_view last_line) {
   const SlotId owner = a.id;
-  if (client == ClientEnd::kMove) {
-    a.front->Move(a.client);
-  } else {
-    a.front->End(a.client);
-  }
-  a.hosts->Close(a.leg);
+  acquirer_.End(a.client, last_line);
+  issuer_.Close(a.leg);
   Forget(a);
   Tell(LegEnded(owner, a.host, end, true, {}));
 }
@@ -315,26 +370,25 @@
 void Relay::OnLegRoom(SlotId owner) {
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
-  if (Stream* client = a->front->Find(a->client)) client->SetReading(true);
+  if (Stream* client = acquirer_.Find(a->client)) client->SetReading(true);
   PumpToHost(*a);
 }
 
 void Relay::PumpToHost(Authorisation& a) {
-  Stream* client = a.front->Find(a.client);
-  Stream* leg = a.hosts->Find(a.leg);
+  Stream* client = acquirer_.Find(a.client);
+  Stream* leg = issuer_.Find(a.leg);
   if (client == nullptr || leg == nullptr || client->In().empty()) return;
   if (leg->Queued() > Stream::kHighWater) {
     client->SetReading(false);
     return;
   }
-  a.flow->ToHost(*client, *leg, loop_.Now());
-  WatchSilence(a);
-}
-
-// The deadline is not moved with each message: when it falls due, what is owed then counts.
-void Relay::WatchSilence(Authorisation& a) {
-  if (a.state != Authorisation::State::kStanding || a.deadline.IsSet()) return;
-  if (const auto at = a.flow->SilentAt()) a.deadline.Set(*at);
+  const std::string_view in = client->In();
+  leg->Write({in});
+  if (a.asked_at.count() == 0 && in.find('\n') != std::string_view::npos) {
+    a.asked_at = loop_.Now();
+    if (a.state == Authorisation::State::kStanding) a.deadline.Set(loop_.Now() + kSilence);
+  }
+  client->Consume(in.size());
 }
 
 void Relay::OnLegBytes(SlotId owner) { PumpToClient(owner, false); }
@@ -342,36 +396,70 @@
 void Relay::OnClientRoom(SlotId owner) {
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
-  if (Stream* leg = a->hosts->Find(a->leg)) leg->SetReading(true);
+  if (Stream* leg = issuer_.Find(a->leg)) leg->SetReading(true);
   PumpToClient(owner, false);
 }
 
+// Only whole lines go on, so that MOVE always falls between two; the part of a line at the very end goes with
+// `all`, and one longer than any line may be goes as it is.
 void Relay::PumpToClient(SlotId owner, bool all) {
   Authorisation* a = authorisations_.Find(owner);
-  Stream* client = a == nullptr ? nullptr : a->front->Find(a->client);
-  Stream* leg = a == nullptr ? nullptr : a->hosts->Find(a->leg);
+  Stream* client = a == nullptr ? nullptr : acquirer_.Find(a->client);
+  Stream* leg = a == nullptr ? nullptr : issuer_.Find(a->leg);
   if (client == nullptr || leg == nullptr || leg->In().empty()) return;
   if (client->Queued() > Stream::kHighWater && !all) {
     leg->SetReading(false);
     return;
   }
-  a->flow->ToClient(*leg, *client, all, loop_.Now());
+  const std::string_view in = leg->In();
+  const std::size_t last = in.rfind('\n');
+  std::size_t whole = last == std::string_view::npos ? 0 : last + 1;
+  if (all || (whole == 0 && in.size() >= kMaxLine)) whole = in.size();
+  if (whole == 0) return;
+  client->Write({in.substr(0, whole)});
+  std::vector<std::string> heard;  // Told when the buffers are done with: the module may move this client.
+  for (std::string_view left = in.substr(0, whole); !left.empty();) {
+    const std::size_t size = LineLength(left).value_or(left.size());
+    heard.emplace_back(Stripped(left.substr(0, size)));
+    left.remove_prefix(size);
+  }
+  leg->Consume(whole);
+  if (a->deadline.IsSet() && a->state == Authorisation::State::kStanding) {
+    a->deadline.Set(loop_.Now() + kSilence);
+  }
+  for (const std::string& line : heard) {
+    a = authorisations_.Find(owner);
+    if (a == nullptr) return;
+    NoteLine(*a, line);
+  }
 }
 
-void Relay::OnLoad(SlotId owner, double load) { Tell(LoadIs(owner, load)); }
+void Relay::NoteLine(Authorisation& a, std::string_view line) {
+  const auto [word, rest] = SplitWord(line);
+  if (word == "LOAD") {
+    if (const auto load = Decimal(rest)) Tell(LoadIs(a.id, *load));
+    return;
+  }
+  a.last_word = word == "BYE"    ? LegEnd::kServed
+                : word == "MOVE" ? LegEnd::kSentAway
+                : word == "ERR"  ? LegEnd::kError
+                                 : LegEnd::kBroken;
+  if (a.asked_at.count() == 0 || a.last_word != LegEnd::kBroken) return;
+  const Micros delay = loop_.Now() - std::exchange(a.asked_at, Micros(0));
+  if (a.state == Authorisation::State::kStanding) a.deadline.Cancel();
+  NoteDelay(a.host, delay);
+}
 
 // Told as the simulator tells it: once a second while messages are slow, and once more when they are not.
-void Relay::OnDelay(SlotId owner, Micros delay) {
-  const Authorisation* a = authorisations_.Find(owner);
-  if (a == nullptr || slow_message_.count() == 0) return;
-  const HostNumber host = a->host;
+void Relay::NoteDelay(HostNumber host, Micros delay) {
+  if (slow_message_.count() == 0) return;
   if (paces_.size() <= host) paces_.resize(host + 1);
   Pace& p = paces_[host];
   const bool slow = delay > slow_message_;
   if (slow ? loop_.Now() < p.told_at + kDelayPeriod : !p.slow) return;
   p.slow = slow;
   p.told_at = loop_.Now();
-  LogLine(Level::kDebug, "slow messages").Field("host", book_.IdOf(host)).Field("take_us", delay.count());
+  LogLine(Level::kDebug, "slow messages").Field("host", issuer_.IdOf(host)).Field("take_us", delay.count());
   Tell(MessageTook(host, delay));
 }
 
@@ -379,16 +467,16 @@
   PumpToClient(owner, true);
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
-  LegEnd how = a->flow->EndedAs();
+  LegEnd how = a->last_word;
   if (how == LegEnd::kServed) ++counters_.served;
   if (how == LegEnd::kSentAway) ++counters_.host_moved;
   if (how == LegEnd::kBroken && a->state == Authorisation::State::kLeaving) how = LegEnd::kAbandoned;
   if (how == LegEnd::kBroken) {
     ++counters_.legs_cut;
-    LogLine(Level::kDebug, "cut").Field("host", book_.IdOf(a->host));
-    if (end == StreamEnd::kReset) a->front->Reset(a->client);
+    LogLine(Level::kDebug, "cut").Field("host", issuer_.IdOf(a->host));
+    if (end == StreamEnd::kReset) acquirer_.Reset(a->client);
   }
-  EndStanding(*a, how, ClientEnd::kOrderly);
+  EndStanding(*a, how, {});
 }
 
 void Relay::Due(SlotId owner) {
@@ -399,22 +487,18 @@
       if (loop_.Now() < a->resume_until) {
         TryResume(*a);
       } else {
-        Answer(owner, [](Front& front, SlotId client) { front.Fail(client); });
+        Answer(owner, kErrorLine);
       }
       return;
     case Authorisation::State::kLeaving:
-      EndStanding(*a, LegEnd::kAbandoned, ClientEnd::kOrderly);
+      EndStanding(*a, LegEnd::kAbandoned, {});
       return;
-    case Authorisation::State::kStanding: {
-      const auto silent_at = a->flow->SilentAt();
-      if (!silent_at) return;
-      if (loop_.Now() < *silent_at) return a->deadline.Set(*silent_at);
+    case Authorisation::State::kStanding:
       // A machine that vanished says nothing, and its connections stay open for ever.
       ++counters_.silent;
-      LogLine(Level::kInfo, "silent host, its client is moved").Field("host", book_.IdOf(a->host));
-      EndStanding(*a, LegEnd::kBroken, ClientEnd::kMove);
+      LogLine(Level::kInfo, "silent host, its client is moved").Field("host", issuer_.IdOf(a->host));
+      EndStanding(*a, LegEnd::kBroken, kMoveLine);
       return;
-    }
   }
 }
 
@@ -430,7 +514,7 @@
 
 void Relay::DrainStep() {
   if (phase_ == Phase::kTaking) {
-    for (Front* front : fronts_) front->StopListening();
+    acquirer_.StopListening();
     phase_ = Phase::kMoving;
   }
   std::vector<SlotId> standing, pending;
@@ -450,8 +534,7 @@
   if (over) {  // What is unanswered now would be lost with the process.
     for (const SlotId id : pending) Fail(id);
   }
-  const bool asking = std::any_of(fronts_.begin(), fronts_.end(), [](Front* f) { return f->Asking(); });
-  const bool done = authorisations_.Size() == 0 && !asking;
+  const bool done = authorisations_.Size() == 0 && !acquirer_.Asking();
   if (done || over) {
     LogLine(Level::kInfo, "drained,").Field("left", authorisations_.Size());
     loop_.Stop();
--- a/src/core/relay.h
+++ b/src/net/relay.h
@@ -1,56 +1,42 @@
-// The relay's core: owns the Balancer, turns what fronts and host sides tell into its events and carries its
-// actions out, in order; pairs clients with legs. It never picks a host, retries or sheds by itself, and
-// knows no wire format.
-#ifndef STOATRUN_CORE_RELAY_H_
-#define STOATRUN_CORE_RELAY_H_
+// The relay: owns the Balancer, turns what happens on sockets into its events and carries its actions out, in
+// order. It never picks a host, retries or sheds by itself.
+#ifndef STOATRUN_NET_RELAY_H_
+#define STOATRUN_NET_RELAY_H_
 
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_set>
 #include <vector>
 
 #include "arrowhatch/balancer.h"
-#include "base/deadlines.h"
-#include "base/slots.h"
-#include "core/counters.h"
-#include "core/host_book.h"
-#include "core/sides.h"
-#include "core/terms.h"
-#include "inventory/hosts.h"
 #include "ledger/meter.h"
-#include "settings/settings.h"
+#include "net/acquirer.h"
+#include "net/config.h"
+#include "net/counters.h"
+#include "net/deadlines.h"
+#include "net/discovery.h"
+#include "net/issuer.h"
+#include "net/slots.h"
+#include "net/terms.h"
 
 namespace stoatrun {
 
-class Relay : public FrontEvents,
-              public HostEvents,
-              public FlowEvents,
-              public ProbeEvents,
-              public DiscoveryEvents,
-              private Orders {
+class Relay : private AcquirerEvents, private IssuerEvents, private DiscoveryEvents, private Orders {
  public:
-  // What the module's orders reach besides the sides.
-  struct Means {
-    std::function<void(HostNumber)> probe;
-    std::function<void()> watch;
-  };
-
   // `meter`: told of standing connections; outlives the relay; null: nobody is.
-  Relay(Loop& loop, const arrowhatch::settings::SiteSettings& site, HostBook& book, Counters& counters,
-        ledger::Meter* meter);
-  Relay(const Relay&) = delete;
-  Relay& operator=(const Relay&) = delete;
+  Relay(Loop& loop, const Config& config, ledger::Meter* meter = nullptr);
 
-  // Before anything else; the fronts outlive the relay's last turn.
-  void Connect(Means means) { means_ = std::move(means); }
-  void AddFront(Front& front) { fronts_.push_back(&front); }
-  void TakeList(const HostList& list, ListSource source);
+  void Start();  // Throws std::system_error if the address can't be had.
   // A planned end: still takes and answers for a while, then moves all standing clients and stops the loop.
   void Drain();
+  // Takes up a replaced configuration: moves the watch. What else changed is logged and waits for a restart.
+  void Reload(const Config& config);
+  void ReloadFailed(std::string_view why);  // What is in force stays so.
+  int Port() const { return acquirer_.Port(); }
+  const Counters& Counts() const { return counters_; }
 
  private:
   struct Authorisation {
@@ -61,16 +47,15 @@
     Deadline deadline;
     State state = State::kPending;
     HostNumber host = 0;
-    Front* front = nullptr;
-    HostSide* hosts = nullptr;
-    const Hello* hello = nullptr;
-    std::unique_ptr<Flow> flow;  // Once it stands.
     Opening opening;
-    std::string open_id;     // As its client named it.
-    std::string resume_at;   // The host that holds the connection already.
-    std::string_view group;  // The front's, until the client is answered.
+    std::string_view before_wait, after_wait;  // Of the client's line, there until the leg is up.
+    std::string open_id;                       // As its client named it.
+    std::string resume_at;                     // The host that holds the connection already.
     Micros resume_until{0};
     std::uint32_t legs = 0;
+    Micros asked_at{0};  // When the oldest client line without an answer went on; 0: none.
+    LegEnd last_word = LegEnd::kBroken;
+    std::string_view group;  // Of the client's line, as `before_wait`.
     ledger::Ticket use;
   };
   struct Pace {  // What a host's messages took.
@@ -86,23 +71,18 @@
     Deadline deadline;
   };
 
-  // FrontEvents
-  std::optional<std::size_t> ClassNamed(std::string_view name) const override;
-  bool IsOpen(std::string_view id) const override { return open_ids_.contains(std::string(id)); }
-  SlotId OnOpen(const Arrival& arrival) override;
+  // AcquirerEvents
+  std::string_view Objection(const OpenHead& head) override;
+  SlotId OnOpen(SlotId client, const OpenHead& head) override;
   void OnClientBytes(SlotId owner) override;
   void OnClientEnd(SlotId owner, StreamEnd end) override;
   void OnClientRoom(SlotId owner) override;
-  // HostEvents
-  void OnLegUp(SlotId owner, std::string_view said) override;
-  void OnLegEnd(SlotId owner, LegEnd end, std::string_view said) override;
+  // IssuerEvents
+  void OnLegUp(SlotId owner, std::string_view line) override;
+  void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) override;
   void OnLegBytes(SlotId owner) override;
   void OnLegFinished(SlotId owner, StreamEnd end) override;
   void OnLegRoom(SlotId owner) override;
-  // FlowEvents
-  void OnLoad(SlotId owner, double load) override;
-  void OnDelay(SlotId owner, Micros delay) override;
-  // ProbeEvents
   void OnProbe(HostNumber host, bool ok, std::string_view report) override;
   // DiscoveryEvents
   void OnHosts(const HostList& list) override;
@@ -118,31 +98,32 @@
   void Watch() override;
 
   void Tell(arrowhatch::Event event);
+  void TakeList(const HostList& list, ListSource source);
   void TryResume(Authorisation& a);
-  // The one final answer to a client that is not served: drops its leg and forgets it.
-  template <typename F>
-  void Answer(SlotId authorisation, F&& answer);
+  void Answer(SlotId authorisation, std::string_view line);
   void Forget(Authorisation& a);
   void EndUse(Authorisation& a);
-  enum class ClientEnd { kMove, kOrderly };
   // Ends a standing connection: both sides are closed and the module is told how.
-  void EndStanding(Authorisation& a, LegEnd end, ClientEnd client);
+  void EndStanding(Authorisation& a, LegEnd end, std::string_view last_line);
   void PumpToHost(Authorisation& a);
   void PumpToClient(SlotId owner, bool all);
-  void WatchSilence(Authorisation& a);
+  void NoteLine(Authorisation& a, std::string_view line);
+  void NoteDelay(HostNumber host, Micros delay);
   void Due(SlotId owner);
   void DrainStep();
+  std::size_t ClassIndex(std::string_view name) const;
 
   Loop& loop_;
-  HostBook& book_;
-  Counters& counters_;
   ledger::Meter* const meter_;
-  const arrowhatch::settings::SiteSettings site_;
-  Means means_;
-  std::vector<Front*> fronts_;
+  const Config start_;  // As the relay was started.
+  const arrowhatch::settings::SiteSettings& site_;
   std::vector<std::string> zones_;
   Micros slow_message_{0};  // A message over this is told; 0: never.
+  Counters counters_;
   arrowhatch::Balancer balancer_;
+  Acquirer acquirer_;
+  Issuer issuer_;
+  Discovery discovery_;
   Slots<Authorisation> authorisations_;
   std::unordered_set<std::string> open_ids_;
   Slots<Timer> timers_;
@@ -158,4 +139,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_CORE_RELAY_H_
+#endif  // STOATRUN_NET_RELAY_H_
--- a/src/base/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,4 +1,4 @@
-#include "base/stream.h"
+#include "net/stream.h"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -11,21 +11,12 @@
 #include <cstdint>
 #include <cstring>
 
-#include "base/text.h"
+#include "net/line.h"
 
 namespace stoatrun {
 namespace {
 
 constexpr std::size_t kDropSize = std::size_t{128} * 1024;
-constexpr std::size_t kKeptOut = 512;  // An empty queue keeps no more than this.
-
-// Where all streams read, one at a time: there is one thread, and a reading within another one (a caller's
-// first line, looked at before it has to go) uses the stream's own buffer.
-struct Shared {
-  std::array<char, Stream::kReadSize> bytes;
-  bool in_use = false;
-};
-Shared shared;  // NOLINT(cppcoreguidelines-avoid-non-const-global-variables): see above.
 
 }  // namespace
 
@@ -52,7 +43,6 @@
 
 void Stream::Adopt(int fd) {
   fd_ = fd;
-  ev_io_set(&io_, fd, 0);
   const int on = 1;
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   Watch();
@@ -74,29 +64,15 @@
 void Stream::Consume(std::size_t n) {
   n = std::min(n, size_);
   if (n == 0) return;
-  data_ += n;
+  std::memmove(in_.get(), in_.get() + n, size_ - n);
   size_ -= n;
-  if (size_ == 0) {
-    own_.reset();
-    own_size_ = 0;
-    data_ = nullptr;
-  }
   Watch();
 }
 
-void Stream::Keep() {
-  if (size_ == 0 || own_) return;
-  own_size_ = std::max(kInSize, size_);
-  own_ = std::make_unique_for_overwrite<char[]>(own_size_);
-  std::memcpy(own_.get(), data_, size_);
-  data_ = own_.get();
-}
-
 void Stream::Drop() {
   dropping_ = true;
-  own_.reset();
-  own_size_ = size_ = 0;
-  data_ = nullptr;
+  in_.reset();
+  size_ = 0;
   SetReading(true);
 }
 
@@ -169,7 +145,7 @@
   if (ev_is_active(&io_) && (io_.events & (EV_READ | EV_WRITE)) == wanted) return;
   ev_io_stop(loop_, &io_);
   if (wanted == 0) return;
-  ev_io_modify(&io_, wanted);  // The descriptor is the same: the kernel is asked only if the events change.
+  ev_io_set(&io_, fd_, wanted);
   ev_io_start(loop_, &io_);
 }
 
@@ -204,48 +180,17 @@
 }
 
 void Stream::ReadSome() {
-  if (dropping_) {
-    // Of what is dropped the kernel copies nothing.
-    static std::array<char, kDropSize> dropped;
-    const ssize_t n = recv(fd_, dropped.data(), dropped.size(), MSG_TRUNC);
-    if (n > 0) return handler_.OnDropped(id_, static_cast<std::size_t>(n));
-    return TakeRead(n);
-  }
-  if (!own_ && !shared.in_use) {
-    const ssize_t n = read(fd_, shared.bytes.data(), shared.bytes.size());
-    if (n > 0) {
-      shared.in_use = true;
-      data_ = shared.bytes.data();
-      size_ = static_cast<std::size_t>(n);
-    }
-    TakeRead(n);
-    if (n <= 0) return;
-    shared.in_use = false;
-    if (!own_ && !IsOpen()) size_ = 0;
-    Keep();  // What is left over.
-    return Watch();
-  }
-  if (!own_) {
-    own_size_ = kInSize;
-    own_ = std::make_unique_for_overwrite<char[]>(own_size_);
-    data_ = own_.get();
-  }
-  const auto begin = static_cast<std::size_t>(data_ - own_.get());
-  if (begin > 0 && begin + size_ == own_size_) {  // Only what was consumed makes room at the front.
-    std::memmove(own_.get(), data_, size_);
-    data_ = own_.get();
-  }
-  char* const end = own_.get() + (data_ - own_.get()) + size_;
-  const std::size_t room = own_size_ - static_cast<std::size_t>(end - own_.get());
-  if (room == 0) return Watch();
-  const ssize_t n = read(fd_, end, room);
-  if (n > 0) size_ += static_cast<std::size_t>(n);
-  TakeRead(n);
-  Watch();
-}
-
-void Stream::TakeRead(ssize_t n) {
-  if (n > 0) {
+  if (size_ == kInSize) return Watch();
+  if (!in_ && !dropping_) in_ = std::make_unique<char[]>(kInSize);
+  // Of what is dropped the kernel copies nothing.
+  static std::array<char, kDropSize> dropped;
+  const ssize_t n = dropping_ ? recv(fd_, dropped.data(), dropped.size(), MSG_TRUNC)
+                              : read(fd_, in_.get() + size_, kInSize - size_);
+  if (n > 0 && dropping_) {
+    handler_.OnDropped(id_, static_cast<std::size_t>(n));
+  } else if (n > 0) {
+    size_ += static_cast<std::size_t>(n);
+    Watch();
     handler_.OnBytes(id_);
   } else if (n == 0) {
     in_ended_ = true;
@@ -270,7 +215,6 @@
   }
   if (Queued() == 0) {
     out_.clear();
-    if (out_.capacity() > kKeptOut) out_.shrink_to_fit();
     out_begin_ = 0;
     if (finish_ && !finished_ && !broken_) {
       finished_ = true;
--- a/src/base/stream.h
+++ b/src/net/stream.h
@@ -1,6 +1,6 @@
 // One non-blocking socket with bounded buffers; the acquirer side, the legs, probes and discovery share it.
-#ifndef STOATRUN_BASE_STREAM_H_
-#define STOATRUN_BASE_STREAM_H_
+#ifndef STOATRUN_NET_STREAM_H_
+#define STOATRUN_NET_STREAM_H_
 
 #include <ev.h>
 #include <netinet/in.h>
@@ -13,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-#include "base/slots.h"
+#include "net/slots.h"
 
 namespace stoatrun {
 
@@ -40,8 +40,7 @@
 
 class Stream {
  public:
-  static constexpr std::size_t kInSize = std::size_t{2} * 4096;     // Two lines of the longest form.
-  static constexpr std::size_t kReadSize = std::size_t{64} * 1024;  // At most so much a turn.
+  static constexpr std::size_t kInSize = std::size_t{2} * 4096;  // Two lines of the longest form.
   static constexpr std::size_t kHighWater =
       std::size_t{64} * 1024;  // Queued output over this stops the other side's reading.
 
@@ -56,12 +55,8 @@
   bool IsOpen() const { return fd_ >= 0; }
   bool PeerEnded() const { return in_ended_; }
   bool IsUp() const { return IsOpen() && !connecting_; }
-  // What was read and not consumed. Views are good until the callback returns, for all streams read into one
-  // buffer; what is left over then is copied to one of their own, which goes when it is empty: a quiet
-  // connection holds none.
-  std::string_view In() const { return {data_, size_}; }
-  // From here on what is not consumed stays where it is, also when more comes.
-  void Keep();
+  // What was read and not consumed. It stays where it is until Consume, also when more comes.
+  std::string_view In() const { return {in_.get(), size_}; }
   void Consume(std::size_t n);
   void SetReading(bool on);
   // What was read and what comes is thrown away; OnDropped tells how much came.
@@ -78,7 +73,6 @@
   static void OnIo(struct ev_loop* loop, ev_io* w, int events);
   void Ready(int events);
   void ReadSome();
-  void TakeRead(ssize_t n);
   void Flush();
   void Break();
   void Watch();
@@ -90,14 +84,12 @@
   int fd_ = -1;
   bool connecting_ = false, reading_ = true, in_ended_ = false, finish_ = false, finished_ = false,
        broken_ = false, dropping_ = false;
-  const char* data_ = nullptr;  // In the shared buffer, or in `own_`.
+  std::unique_ptr<char[]> in_;  // Taken at the first byte: those who say nothing cost none.
   std::size_t size_ = 0;
-  std::unique_ptr<char[]> own_;
-  std::size_t own_size_ = 0;
   std::string out_;
   std::size_t out_begin_ = 0;
 };
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_BASE_STREAM_H_
+#endif  // STOATRUN_NET_STREAM_H_
--- a/src/core/terms.cpp
+++ b/src/net/terms.cpp
@@ -1,8 +1,8 @@
-#include "core/terms.h"
+#include "net/terms.h"
 
 #include <algorithm>
 
-#include "base/text.h"
+#include "net/line.h"
 
 namespace stoatrun {
 namespace {
@@ -76,8 +76,6 @@
 
 }  // namespace
 
-std::string_view ReportIn(std::string_view said) { return SplitWord(Stripped(said)).second; }
-
 void CarryOut(const ah::Action& action, Orders& orders) { std::visit(Visitor{orders}, action); }
 
 ah::Event Arrived(SlotId authorisation, const Opening& opening) {
--- a/src/core/terms.h
+++ b/src/net/terms.h
@@ -1,7 +1,7 @@
 // The one place where the module's names meet the shop's: request - authorisation, server - issuer host,
 // attempt - leg, refusal - decline.
-#ifndef STOATRUN_CORE_TERMS_H_
-#define STOATRUN_CORE_TERMS_H_
+#ifndef STOATRUN_NET_TERMS_H_
+#define STOATRUN_NET_TERMS_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "arrowhatch/balancer.h"
-#include "base/clock.h"
-#include "base/slots.h"
-#include "core/sides.h"
-#include "inventory/hosts.h"
+#include "net/clock.h"
+#include "net/hosts.h"
+#include "net/issuer.h"
+#include "net/slots.h"
 #include "settings/settings.h"
 
 namespace stoatrun {
@@ -35,8 +35,12 @@
 
 void CarryOut(const arrowhatch::Action& action, Orders& orders);
 
-// What a host said besides its word, where reports come with answers: all after the first blank.
-std::string_view ReportIn(std::string_view said);
+struct Opening {  // What the module hears of a new authorisation.
+  std::size_t class_index = 0;
+  Micros deadline{0};
+  std::optional<double> load;
+  bool again = false;
+};
 
 arrowhatch::Event Arrived(SlotId authorisation, const Opening& opening);
 arrowhatch::Event Resumed(SlotId authorisation, const Opening& opening, HostNumber host);
@@ -57,4 +61,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_CORE_TERMS_H_
+#endif  // STOATRUN_NET_TERMS_H_
--- a/src/ops/log.h
+++ b/src/ops/log.h
@@ -14,7 +14,7 @@
 #include <optional>
 #include <string_view>
 
-#include "base/clock.h"
+#include "net/clock.h"
 
 namespace stoatrun {
 
--- a/src/ops/operator_file.cpp
+++ b/src/ops/operator_file.cpp
@@ -13,7 +13,7 @@
 #include <optional>
 #include <sstream>
 
-#include "base/stream.h"
+#include "net/stream.h"
 
 namespace stoatrun {
 namespace {
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -1,12 +1,11 @@
 // The parts that need no sockets.
 #include <catch2/catch.hpp>
 
-#include "base/deadlines.h"
-#include "base/slots.h"
-#include "base/text.h"
-#include "ops/config.h"
+#include "net/config.h"
+#include "net/deadlines.h"
+#include "net/line.h"
+#include "net/slots.h"
 #include "ops/log.h"
-#include "wire/line.h"
 
 namespace stoatrun {
 namespace {
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -11,7 +11,7 @@
 #include <chrono>
 #include <sstream>
 
-#include "ops/config.h"
+#include "net/config.h"
 
 namespace stoatrun {
 namespace {
@@ -85,7 +85,7 @@
   SetLogLevel(Level::kError);
   for (const char* name : {"discovery", "discovery2"}) Listen(discoveries_[name]);
   for (const std::string& id : hosts) Listen(hosts_[id]);
-  relay_ = std::make_unique<Service>(loop_, ConfigWith(discoveries_["discovery"]));
+  relay_ = std::make_unique<Relay>(loop_, ConfigWith(discoveries_["discovery"]));
   relay_->Start();
 }
 
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -28,8 +28,8 @@
 #include <string_view>
 #include <vector>
 
-#include "base/deadlines.h"
-#include "cli/service.h"
+#include "net/deadlines.h"
+#include "net/relay.h"
 
 namespace stoatrun {
 
@@ -80,7 +80,7 @@
   bool discovery_refuses_ = false;
   std::string flood_;
   std::map<std::string, std::unique_ptr<Peer>> clients_;
-  std::unique_ptr<Service> relay_;
+  std::unique_ptr<Relay> relay_;
 };
 
 // Plays a script in a world of the hosts s-1 and s-2 of its own.
