One form of names, one reading of a receiver's answer, no parameters that nothing sets

Cause, found on reading the whole change again: the form of a name stood in three places (first lines, the operator file, the ledger); the courier built an answer twice, and the copy for answers that end with their connection left out Retry-After; the keeper carried a flag and a time that no caller used; the store asked for an open period in three wordings.

Change: base/name.h, Courier::ReadAnswer, Store::OpenPeriod, and the unused parts are gone. Nothing else differs, but that a Retry-After counts in every answer.

--- a/src/ledger/accounts.cpp
+++ b/src/ledger/accounts.cpp
@@ -3,18 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/name.h"
+
 namespace stoatrun::ledger {
 namespace {
 
 constexpr std::int64_t kMilli = 1000;
-constexpr std::size_t kMaxName = 64;
-
-bool IsName(std::string_view text) {
-  return text.size() <= kMaxName && std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                  std::string_view("-_.:/").find(c) != std::string_view::npos;
-         });
-}
+constexpr std::size_t kMaxGroupName = 64;
 
 // Rounded down also before 1970: a machine without a clock of its own starts there.
 std::int64_t FloorTo(std::int64_t value, std::int64_t step) {
@@ -43,7 +38,7 @@
   std::string key(name);
   if (name.empty()) {
     key = kMissingGroup;
-  } else if (!IsName(name)) {
+  } else if (!IsName(name, kMaxGroupName)) {
     key = kOtherGroups;
   }
   auto it = numbers_.find(key);
--- a/src/ledger/io/courier.cpp
+++ b/src/ledger/io/courier.cpp
@@ -105,15 +105,7 @@
   const std::size_t used = http_parser_execute(&parser_, &parser_settings_, in.data(), in.size());
   const std::size_t size = in.size();
   call->stream.Consume(size);
-  if (complete_) {
-    Answer answer;
-    answer.status = static_cast<int>(parser_.status_code);
-    ReadReceipt(body_, answer);
-    std::int64_t wait_s = 0;
-    std::from_chars(retry_after_.data(), retry_after_.data() + retry_after_.size(), wait_s);
-    answer.retry_after = std::chrono::seconds(std::clamp<std::int64_t>(wait_s, 0, 86'400));
-    return Finish(answer);
-  }
+  if (complete_) return Finish(ReadAnswer());
   if (used != size || HTTP_PARSER_ERRNO(&parser_) != HPE_OK || body_.size() > kMostAnswer) Finish({});
 }
 
@@ -121,14 +113,20 @@
 void Courier::OnEnd(SlotId id, StreamEnd /*end*/) {
   if (id != call_ || calls_.Find(id) == nullptr) return;
   http_parser_execute(&parser_, &parser_settings_, nullptr, 0);
-  if (!complete_) return Finish({});
+  Finish(complete_ ? ReadAnswer() : Answer{});
+}
+
+Answer Courier::ReadAnswer() const {
   Answer answer;
   answer.status = static_cast<int>(parser_.status_code);
   ReadReceipt(body_, answer);
-  Finish(answer);
+  std::int64_t wait_s = 0;
+  std::from_chars(retry_after_.data(), retry_after_.data() + retry_after_.size(), wait_s);
+  answer.retry_after = std::chrono::seconds(std::clamp<std::int64_t>(wait_s, 0, 86'400));
+  return answer;
 }
 
-void Courier::Finish(Answer answer) {
+void Courier::Finish(const Answer& answer) {
   patience_.Cancel();
   if (Call* call = calls_.Find(call_)) call->stream.Close();
   calls_.Erase(call_);
--- a/src/ledger/io/courier.h
+++ b/src/ledger/io/courier.h
@@ -55,7 +55,8 @@
   void Wait();
   void Send();
   void Connect(const std::vector<StoredRecord>& records);
-  void Finish(Answer answer);
+  Answer ReadAnswer() const;  // Of a response that is whole.
+  void Finish(const Answer& answer);
   void Confirm(std::uint64_t seq, const std::string& hash);
   void Told(Delivery::Verdict verdict, std::string_view why);
   double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- a/src/ledger/io/keeper.cpp
+++ b/src/ledger/io/keeper.cpp
@@ -40,7 +40,7 @@
   const bool period_done = accounts_.PeriodDone(loop_.Now());
   if (period_done || loop_.Now() >= next_checkpoint_) {
     next_checkpoint_ = loop_.Now() + setup_.checkpoint;
-    Collect(false);
+    Collect();
     Hand(false);
   }
   checkpoint_.Set(std::min(next_checkpoint_, loop_.Now() + kMostTick));
@@ -57,9 +57,9 @@
   return false;
 }
 
-void Keeper::Collect(bool leave) {
+void Keeper::Collect() {
   CheckNow();
-  for (Posting& p : accounts_.Take(loop_.Now(), leave)) {
+  for (Posting& p : accounts_.Take(loop_.Now(), false)) {
     for (const ClockStep& s : p.steps) {
       ++counts_.clock_steps;
       LogLine(Level::kWarn, "ledger clock step")
@@ -95,17 +95,17 @@
   for (std::size_t k = handed_; k < backlog_.size(); ++k) backlog_[k].number = next_number_++;
   handed_ = backlog_.size();
   const std::vector<Posting> postings(backlog_.begin(), backlog_.end());
-  const Moment now{accounts_.WallAt(loop_.Now()).count(), accounts_.PeriodStart()};
+  const std::int64_t wall_us = accounts_.WallAt(loop_.Now()).count();
   const auto job = [this, disk = disk_, setup = setup_.store, postings, open = accounts_.OpenByGroup(),
-                    began = began_, now, ending]() -> Worker::Reply {
-    const Result result = KeepOnDisk(*disk, setup, postings, open, began, now, ending);
+                    began = began_, wall_us, ending]() -> Worker::Reply {
+    const Result result = KeepOnDisk(*disk, setup, postings, open, began, wall_us, ending);
     return [this, result] { Take(result); };
   };
   out_ = worker_.Post(job);  // A full queue is as a disk that is away: it all stays in the backlog.
 }
 
 Keeper::Result Keeper::KeepOnDisk(Disk& disk, const StoreSetup& setup, const std::vector<Posting>& postings,
-                                  const OpenCounts& open, const Moment& began, const Moment& now,
+                                  const OpenCounts& open, const Moment& began, std::int64_t wall_us,
                                   bool ending) {
   Result result;
   try {
@@ -122,7 +122,7 @@
       result.tried_next = false;
       ++result.kept;
     }
-    if (ending) disk.store->EndRun(now.wall_us);
+    if (ending) disk.store->EndRun(wall_us);
     result.state = disk.store->State();
   } catch (const StoreError& e) {
     result.fault = e.fault;
@@ -184,7 +184,7 @@
   };
   bool there = worker_.Finish(bound);
   if (there) {
-    Collect(false);
+    Collect();
     Hand(true);
     there = worker_.Finish(std::max(left(), std::chrono::milliseconds(0)));
   }
--- a/src/ledger/io/keeper.h
+++ b/src/ledger/io/keeper.h
@@ -83,12 +83,12 @@
   };
 
   void Due();
-  void Collect(bool leave);
+  void Collect();
   void Keep(Posting posting);
   void Hand(bool ending);
   void Take(const Result& result);
   static Result KeepOnDisk(Disk& disk, const StoreSetup& setup, const std::vector<Posting>& postings,
-                           const OpenCounts& open, const Moment& began, const Moment& now, bool ending);
+                           const OpenCounts& open, const Moment& began, std::int64_t wall_us, bool ending);
 
   Loop& loop_;
   const KeeperSetup setup_;
--- a/src/ledger/io/store.cpp
+++ b/src/ledger/io/store.cpp
@@ -250,9 +250,13 @@
   Query(*db_, "DELETE FROM run_open WHERE run = ?").Bind(last.Int(0)).Run();
 }
 
+std::optional<std::int64_t> Store::OpenPeriod(std::int64_t start_s) {
+  Query q(*db_, "SELECT id FROM period WHERE start_s = ? AND closed = 0");
+  return q.Bind(start_s).Step() ? std::optional(q.Int(0)) : std::nullopt;
+}
+
 std::int64_t Store::PeriodFor(const Posting& posting) {
-  Query open(*db_, "SELECT id FROM period WHERE start_s = ? AND closed = 0");
-  if (open.Bind(posting.period_start_s).Step()) return open.Int(0);
+  if (const auto open = OpenPeriod(posting.period_start_s)) return *open;
   Query last(*db_, "SELECT coalesce(max(supplement) + 1, 0) FROM period WHERE start_s = ?");
   last.Bind(posting.period_start_s).Step();
   Query(*db_, "INSERT INTO period(start_s, supplement, length_s) VALUES(?, ?, ?)")
@@ -320,8 +324,7 @@
       Append(std::move(record), "unattested", 0, {}, {});
     }
     if (posting.left) {
-      Query left(*db_, "SELECT id FROM period WHERE start_s = ? AND closed = 0");
-      if (left.Bind(posting.period_start_s).Step()) ClosePeriod(left.Int(0));
+      if (const auto open_period = OpenPeriod(posting.period_start_s)) ClosePeriod(*open_period);
     }
     Query(*db_, "UPDATE run SET last_number = ?, last_wall_us = ? WHERE id = ?")
         .Bind(static_cast<std::int64_t>(posting.number))
@@ -395,8 +398,7 @@
 std::uint64_t Store::Enter(const Correct& c) {
   return Guarded([&] {
     Transaction t(*db_, Transaction::Kind::kWrite);
-    Query open(*db_, "SELECT 1 FROM period WHERE start_s = ? AND closed = 0");
-    if (open.Bind(c.period_start_s).Step()) {
+    if (OpenPeriod(c.period_start_s)) {
       throw StoreError(StoreFault::kRefused, fmt::format("the period {} is not closed yet: its use is still "
                                                          "being counted; correct it once it is exported",
                                                          c.period_start_s));
--- a/src/ledger/io/store.h
+++ b/src/ledger/io/store.h
@@ -119,6 +119,7 @@
                        std::string_view group, std::string_view reference);
   void ClosePeriod(std::int64_t id);
   void CloseOthers(std::int64_t period_start_s);
+  std::optional<std::int64_t> OpenPeriod(std::int64_t start_s);
   std::int64_t PeriodFor(const Posting& posting);
   void NoteLeftOver(std::int64_t wall_us);
   template <typename F>
--- a/src/net/line.cpp
+++ b/src/net/line.cpp
@@ -5,12 +5,13 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/name.h"
+
 namespace stoatrun {
 namespace {
 
 constexpr double kMaxWaitMs =
     8.64e7;  // A day. Nobody waits longer; connections from before ask for 71 minutes.
-constexpr std::size_t kMaxName = 128;
 constexpr std::array<std::string_view, 8> kFields{"c", "t", "d", "g", "r", "again", "at", "h"};
 
 // Visible ASCII alone: what else comes is not of this protocol and must not reach an issuer host.
@@ -21,14 +22,6 @@
   return true;
 }
 
-bool IsName(std::string_view text) {
-  const auto of_name = [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
-           c == '_' || c == '.' || c == ':' || c == '/';
-  };
-  return !text.empty() && text.size() <= kMaxName && std::all_of(text.begin(), text.end(), of_name);
-}
-
 template <typename T>
 std::optional<T> Number(std::string_view text) {
   T value{};
--- a/src/ops/operator_file.cpp
+++ b/src/ops/operator_file.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <sstream>
 
+#include "base/name.h"
 #include "net/stream.h"
 
 namespace stoatrun {
@@ -67,13 +68,6 @@
   return path.empty() ? name : path + "." + name;
 }
 
-bool IsWireName(std::string_view text) {
-  return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-           std::string_view("-_.:/").find(c) != std::string_view::npos;
-  });
-}
-
 std::optional<std::uint64_t> Amount(const pb::Message& m, const pb::FieldDescriptor* f, int k) {
   const pb::Reflection* r = m.GetReflection();
   switch (f->cpp_type()) {
@@ -90,7 +84,7 @@
   if (form == config::ADDRESS && !Address::Parse(text)) return "expected IP:PORT, got '" + text + "'";
   if (form == config::FOLDER && (text.empty() || text.front() != '/'))
     return "expected an absolute path, got '" + text + "'";
-  if (form == config::NAME && !IsWireName(text))
+  if (form == config::NAME && !IsName(text))
     return "expected a name of letters, digits and -_.:/, got '" + text + "'";
   return {};
 }
