--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -13,8 +13,9 @@
 namespace stoatrun {
 namespace {
 
-constexpr Micros kFirstRetry = std::chrono::milliseconds(50);
-constexpr Micros kLastRetry = std::chrono::milliseconds(800);
+// With the wait for an answer this stays under the 10 s after which a relay counts as told though it never
+// asked.
+constexpr Micros kLongestWait = std::chrono::milliseconds(6000);
 // Calls wait in turn and may take seconds; the module asks anew after 6 s.
 constexpr Micros kAnswerWait = std::chrono::milliseconds(3500);
 // An empty line is due every 2 s: a watch without any byte for longer is dead, though its connection stays.
@@ -24,7 +25,7 @@
 }  // namespace
 
 Discovery::Discovery(Loop& loop, DiscoveryEvents& events, Counters& counters, const Address& address,
-                     std::string host, std::uint64_t known_revision)
+                     std::string host, std::uint64_t known_revision, const Callers& callers)
     : loop_(loop),
       events_(events),
       counters_(counters),
@@ -33,7 +34,7 @@
       revision_(known_revision),
       retry_(loop.deadlines, [this] { Connect(); }),
       silence_(loop.deadlines, [this] { Fail("silent"); }),
-      backoff_(kFirstRetry) {
+      backoff_(callers.relays, kLongestWait, callers.seed) {
   http_parser_settings_init(&parser_settings_);
   parser_settings_.on_headers_complete = OnStatus;
   parser_settings_.on_body = OnBody;
@@ -43,7 +44,13 @@
 
 void Discovery::Watch() {
   watching_ = owes_answer_ = true;
-  if (calls_.Find(call_) == nullptr && !retry_.IsSet()) Connect();
+  if (calls_.Find(call_) == nullptr && !retry_.IsSet()) Begin();
+}
+
+void Discovery::Begin() {
+  const Micros wait = backoff_.Start();
+  if (wait.count() == 0) return Connect();
+  retry_.Set(loop_.Now() + wait);
 }
 
 // What is owed to the module stays owed, and the list in force stays so until the new address speaks.
@@ -55,9 +62,9 @@
   // Another service counts its own revisions: only the whole list is sure to leave nothing out.
   if (!same) revision_ = 0;
   // The waits grew at the old address: they must not keep the relay from the new one.
-  backoff_ = kFirstRetry;
+  backoff_.Reset();
   Drop();
-  if (watching_) Connect();
+  if (watching_) Begin();
 }
 
 void Discovery::Drop() {
@@ -102,11 +109,11 @@
 }
 
 void Discovery::Fail(std::string_view why) {
-  LogLine(Level::kInfo, "watch failed").Why(why).Field("again_in_ms", backoff_.count() / 1000);
+  const Micros wait = backoff_.Next();
+  LogLine(Level::kInfo, "watch failed").Why(why).Field("again_in_ms", wait.count() / 1000);
   ++counters_.watches_failed;
   Drop();
-  retry_.Set(loop_.Now() + backoff_);
-  backoff_ = std::min(backoff_ * 2, kLastRetry);
+  retry_.Set(loop_.Now() + wait);
   if (std::exchange(owes_answer_, false)) events_.OnWatchFailed();
 }
 
@@ -160,7 +167,7 @@
     return false;
   }
   revision_ = list.revision;
-  backoff_ = kFirstRetry;
+  backoff_.Reset();
   owes_answer_ = false;
   ++counters_.lists;
   events_.OnHosts(list);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/backoff.h"
 #include "net/counters.h"
 #include "net/deadlines.h"
 #include "net/hosts.h"
@@ -25,8 +26,13 @@
 
 class Discovery : public StreamHandler {
  public:
+  struct Callers {             // What paces the calls.
+    std::uint32_t relays = 1;  // That share the service, this one included.
+    std::uint64_t seed = 0;
+  };
+
   Discovery(Loop& loop, DiscoveryEvents& events, Counters& counters, const Address& address, std::string host,
-            std::uint64_t known_revision);
+            std::uint64_t known_revision, const Callers& callers);
 
   // Keeps a watch from now on. Answered by one OnHosts or one OnWatchFailed.
   void Watch();
@@ -44,6 +50,7 @@
     Stream stream;
   };
 
+  void Begin();
   void Connect();
   void Drop();
   void Fail(std::string_view why);
@@ -62,7 +69,7 @@
   Slots<Call> calls_;
   SlotId call_;
   Deadline retry_, silence_;
-  Micros backoff_;
+  Backoff backoff_;
   bool watching_ = false, owes_answer_ = false, refused_ = false, ended_ = false;
   std::string line_;  // Of the body, not yet whole.
   http_parser parser_{};
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -78,7 +78,8 @@
       balancer_(config.site.module),
       acquirer_(loop, *this, counters_, DescriptorsOf(config)),
       issuer_(loop, *this, counters_, TimesOf(config.site)),
-      discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision),
+      discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision,
+                 {config.site.module.gateways, config.site.module.seed}),
       drain_(loop.deadlines, [this] { DrainStep(); }) {
   loop_.AddSweeper([this] {
     authorisations_.Sweep();
--- a/tests/net/parts_test.cpp
+++ b/tests/net/parts_test.cpp
@@ -1,6 +1,11 @@
 // The parts that need no sockets.
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <queue>
+#include <utility>
+#include <vector>
 
+#include "base/backoff.h"
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/line.h"
@@ -90,6 +95,54 @@
   }
 }
 
+// Callers of a service that takes calls in turn, 50 ms each, also those whose callers gave up after 2 s. All
+// come at once. Gives how many of a hundred were served within 30 s.
+int ServedOfAHundred(unsigned callers_told) {
+  using std::chrono::milliseconds;
+  std::vector<Backoff> waits;
+  for (std::uint64_t k = 0; k < 100; ++k) waits.emplace_back(callers_told, Micros(6'000'000), k);
+  using Call = std::pair<Micros, std::size_t>;
+  std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
+  for (std::size_t k = 0; k < 100; ++k) calls.emplace(waits[k].Start(), k);
+  Micros free{0};
+  int served = 0;
+  while (!calls.empty() && calls.top().first < std::chrono::seconds(30)) {
+    const auto [at, who] = calls.top();
+    calls.pop();
+    free = std::max(free, at);
+    if (free - at > std::chrono::seconds(9)) {  // Its queue is full: refused at once.
+      calls.emplace(at + waits[who].Next(), who);
+      continue;
+    }
+    free += milliseconds(50);
+    if (free - at <= std::chrono::seconds(2)) {
+      ++served;
+    } else {
+      calls.emplace(at + std::chrono::seconds(2) + waits[who].Next(), who);
+    }
+  }
+  return served;
+}
+
+TEST_CASE("a hundred that ask one slow service at once are all served, unless each thinks of two") {
+  CHECK(ServedOfAHundred(100) == 100);
+  CHECK(ServedOfAHundred(2) < 50);
+}
+
+TEST_CASE("waits grow to a bound, are drawn at random and begin anew after a success") {
+  Backoff two(2, Micros(6'000'000), 1), many(100, Micros(6'000'000), 1), other(100, Micros(6'000'000), 2);
+  CHECK(Backoff(1, Micros(6'000'000), 1).Start() == Micros(0));
+  CHECK(two.Start() <= Micros(40'000));
+  CHECK(many.Next() != other.Next());
+  for (int k = 0; k < 20; ++k) {
+    CHECK(two.Next() <= Micros(800'000));
+    const Micros wait = many.Next();
+    CHECK((wait >= Micros(2'500'000) && wait <= Micros(6'000'000)));
+  }
+  two.Reset();
+  CHECK(two.Next() <= Micros(50'000));
+}
+
 TEST_CASE("of what is logged at full speed a few a second are written and the rest is counted") {
   LogLimit limit;
   int written = 0;
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -360,6 +360,15 @@
   Play(kStand);
 }
 
+// Discovery serves calls in turn: a hundred relays that lose their watches together overran it for good.
+TEST_CASE("one relay of a hundred begins its watch within a spread and comes again late") {
+  World world({"s-1"}, 0, 100);
+  world.Play("wait 4000\ndiscovery watches 1\ndiscovery refuse\ndiscovery close\nwait 1000");
+  CHECK(world.Counts().watches_failed == 1);
+  world.Play("wait 2500\ndiscovery watches 2\ndiscovery serve\nwait 6000\ndiscovery watches 3");
+  world.Play(kStand);
+}
+
 // The old address closes its watches soon after: to wait for that, or for a back-off grown there, would leave
 // the relay deaf for seconds. Another service counts its own revisions, so the whole list is asked for.
 TEST_CASE_METHOD(Alone, "a reload moves the watch at once and the old list stays until the new one speaks") {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -35,8 +35,9 @@
 
 class World {
  public:
-  // `descriptors`: what the relay is told that it may hold; 0: not told.
-  explicit World(const std::vector<std::string>& hosts, int descriptors = 0);
+  // `descriptors`: what the relay is told that it may hold; 0: not told. `relays`: of its fleet, itself
+  // included.
+  explicit World(const std::vector<std::string>& hosts, int descriptors = 0, int relays = 1);
   ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
@@ -65,7 +66,7 @@
   void Turn();
   void Serve(Server& host);
   void ServeDiscovery(Server& discovery);
-  int descriptors_;
+  int descriptors_, relays_;
   Config ConfigWith(const Server& discovery) const;  // Which is all that a reload changes.
   Peer& PeerOf(const std::string& who, const std::string& step);
   void Expect(Peer& peer, const std::string& text, const std::string& step);
