--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -85,7 +85,9 @@
 // Not so once the fleet is full: then what broke them is too much load, which they would bring back.
 constexpr double kAdmitBack = 0.95;
 constexpr double kRoomBack = 0.65;
-constexpr Micros kHerdMemory = seconds(1);  // About the age of what the other gateways know, too.
+constexpr Micros kHerdMemory = seconds(2);  // About the age of what the other gateways know, too.
+// A client that comes back seldom does so alone: with thin traffic own sends tell of a herd when it is over.
+constexpr double kHerdPrior = 1.0;
 // Of what the others would send if they did as this one: part of it their reports show already, and one that
 // drains or has just started sends little.
 constexpr double kHerdPart = 0.5;
@@ -377,7 +379,8 @@
   }
 
   double Estimate(const Server& s) const {
-    const double base = s.has_figure ? s.figure : Mean();
+    // Nothing told of a server that has just started means that it has taken nothing yet.
+    const double base = s.has_figure ? s.figure : Cold(s) ? 0.0 : Mean();
     return base + static_cast<double>(s.unseen.size()) * LoadOfOne();
   }
 
@@ -425,14 +428,30 @@
     }
   }
 
+  bool Probable(const Request& r, int i) {
+    const Server& s = servers_[i];
+    return !s.probe_out && !Contains(r.tried, i) && now_ >= s.avoid_until && MaySend(r, i);
+  }
+
+  // A cold server with budget left here. A gateway of many has little of it and seldom: it goes first.
+  int OpenCold(const Request& r) {
+    const std::size_t start = random_.Below(std::max<std::size_t>(eligible_.size(), 1));
+    for (std::size_t k = 0; k < eligible_.size(); ++k) {
+      const int i = eligible_[(start + k) % eligible_.size()];
+      if (Cold(servers_[i]) && servers_[i].figure < kAdmit && Probable(r, i)) return i;
+    }
+    return kNone;
+  }
+
   // Candidates for landing: the best of a few by the table, so that probes go where a landing is likely.
   int LandingCandidate(const Request& r) {
-    int best = kNone;
+    int best = OpenCold(r);
+    if (best != kNone) return best;
     double best_cost = std::numeric_limits<double>::infinity();
     for (int k = 0; k < kCandidates; ++k) {
       const int i = eligible_[random_.Below(eligible_.size())];
       const Server& s = servers_[i];
-      if (s.probe_out || Contains(r.tried, i) || now_ < s.avoid_until || !MaySend(r, i)) continue;
+      if (!Probable(r, i)) continue;
       const double cost = Cost(s);
       if (cost < best_cost) {
         best = i;
@@ -443,7 +462,7 @@
   }
 
   void SeekLanding(Request& r) {
-    if (MayRefuse(r) && (now_ < full_until_ || Overrun())) {
+    if (MayRefuse(r) && ((now_ < full_until_ && OpenCold(r) == kNone) || Overrun())) {
       Answer(r);
       return;
     }
@@ -557,10 +576,12 @@
   bool Decide(Request& r) {
     if (static_cast<double>(setups_out_) >= window_) return false;
     PoolAnswer* best = nullptr;
+    const double others = Herd(r, sends_.At(now_));
     double best_cost = std::numeric_limits<double>::infinity();
     for (PoolAnswer& a : pool_) {
       if (!Usable(r, a)) continue;
-      const double cost = Cost(servers_[a.server]);
+      // Equal views must not lead to equal choices: each gateway guesses at random what others placed there.
+      const double cost = Cost(servers_[a.server]) - others * std::log(1 - random_.Unit());
       if (cost < best_cost) {
         best = &a;
         best_cost = cost;
@@ -866,14 +887,15 @@
   // all.
   bool TooFull(const Request& r, int i) const {
     const bool back = r.info.came_back && Mean() <= kRoomBack;
-    const double over = back ? Estimate(servers_[i]) - kAdmitBack : Estimate(servers_[i]) + Herd() - kAdmit;
+    const double over =
+        Estimate(servers_[i]) + Herd(r, back ? 0 : sends_.At(now_)) - (back ? kAdmitBack : kAdmit);
     return servers_[i].has_figure && over > 0 && MayRefuse(r);
   }
 
   // What the other gateways may have placed on a server since its report, if they do as this one does. Damps
-  // admission when many come at once: all gateways see the same servers with room.
-  double Herd() const {
-    return kHerdPart * LoadOfOne() * sends_.At(now_) * (set_.gateways - 1) /
+  // admission when many come at once: all gateways see the same servers with room. `own`: its sends lately.
+  double Herd(const Request& r, double own) const {
+    return kHerdPart * LoadOfOne() * (own + (r.info.came_back ? kHerdPrior : 0)) * (set_.gateways - 1) /
            std::max(1.0, static_cast<double>(eligible_.size()));
   }
 
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,139 @@
+// A hundred gateways side by side that share nothing: what is harmless at one and harmful when all do it.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "harness.h"
+
+namespace arrowhatch {
+namespace {
+
+constexpr std::size_t kGateways = 100;
+
+// What a server tells: load over capacity, connections.
+struct Told {
+  double load, count;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const std::vector<ServerEntry>& list, std::map<std::uint64_t, Told> told)
+      : told_(std::move(told)) {
+    for (std::size_t k = 0; k < kGateways; ++k) {
+      Settings s = PlainSettings();
+      s.seed = 1000 + k;
+      s.gateways = kGateways;
+      all_.push_back(std::make_unique<Harness>(s));
+      all_.back()->now = Ms(10'000);
+      all_.back()->List(list);
+    }
+  }
+  void Pass(Micros span) {
+    for (auto& g : all_) Play(*g, g->Pass(span));
+  }
+  // A client that comes back to each gateway.
+  void ComeBack(std::uint64_t id) {
+    for (std::size_t k = 0; k < kGateways; ++k) {
+      RequestArrived e;
+      e.id = Rq(id);
+      e.deadline = all_[k]->now + Ms(2000);
+      e.came_back = true;
+      Play(*all_[k], all_[k]->Give(e));
+    }
+  }
+  void List(const std::vector<ServerEntry>& list) {
+    for (auto& g : all_) Play(*g, g->List(list, ServerList::Kind::kFull));
+  }
+  int SentTo(std::uint64_t server) const {
+    const auto at = sent_.find(Sv(server));
+    return at == sent_.end() ? 0 : at->second;
+  }
+  int refused = 0;
+
+ private:
+  void Play(Harness& g, std::vector<Action> actions) {
+    for (std::size_t k = 0; k < actions.size(); ++k) {
+      std::vector<Action> more;
+      if (const auto* p = std::get_if<ProbeServer>(&actions[k])) {
+        const Told& t = told_.at(static_cast<std::uint64_t>(p->server));
+        more = g.Report(static_cast<std::uint64_t>(p->server), t.load, t.count);
+      } else if (const auto* s = std::get_if<SendAttempt>(&actions[k])) {
+        ++sent_[s->server];
+        more = g.Give(AttemptEstablished{s->id, s->server});
+      } else if (std::holds_alternative<RefuseRequest>(actions[k])) {
+        ++refused;
+      }
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+  }
+
+  std::vector<std::unique_ptr<Harness>> all_;
+  std::map<std::uint64_t, Told> told_;
+  std::map<ServerId, int> sent_;
+};
+
+// Clients of a lost server come back to all gateways at once. Each sees the same reports; when each took the
+// least utilised server that one was asked for twice what it can do before it had told anything new.
+TEST(Fleet, EqualViewsDoNotLeadToEqualChoices) {
+  std::vector<ServerEntry> list;
+  std::map<std::uint64_t, Told> told;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    list.push_back(Ready(id));
+    told[id] = {0.25 + 0.05 * static_cast<double>(id), 20};
+  }
+  Fleet fleet(list, told);
+  fleet.ComeBack(1);
+  int most = 0, all = 0;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    most = std::max(most, fleet.SentTo(id));
+    all += fleet.SentTo(id);
+  }
+  EXPECT_GE(all, 30);
+  EXPECT_LE(most, all / 2);
+}
+
+// A hundred that each see room for a few more would fill a server many times over.
+TEST(Fleet, AFleetNearlyFullTakesNoHerd) {
+  std::vector<ServerEntry> list;
+  std::map<std::uint64_t, Told> told;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    list.push_back(Ready(id));
+    told[id] = {0.75, 20};
+  }
+  Fleet fleet(list, told);
+  fleet.ComeBack(1);
+  EXPECT_GE(fleet.refused, 90);
+}
+
+// Each gateway has a hundredth of a cold server's budget. Looked at like any other server it was used by few:
+// new servers stayed empty through their warm-up while the old ones were full.
+TEST(Fleet, AColdServersBudgetIsUsedWhileTheOthersAreFull) {
+  std::vector<ServerEntry> list;
+  std::map<std::uint64_t, Told> told;
+  for (std::uint64_t id = 1; id <= 12; ++id) {
+    list.push_back(Ready(id));
+    told[id] = {0.9, 27};
+  }
+  told[13] = {0.1, 3};
+  Fleet fleet(list, told);
+  for (int k = 0; k < 4; ++k) {  // They learn what a full server carries.
+    fleet.ComeBack(static_cast<std::uint64_t>(10 + k));
+    fleet.Pass(Ms(1500));
+  }
+  ServerEntry cold = Ready(13);
+  cold.started = Ms(16'000);
+  list.push_back(cold);
+  fleet.List(list);
+  for (int k = 0; k < 9; ++k) {
+    fleet.ComeBack(static_cast<std::uint64_t>(100 + k));
+    fleet.Pass(Ms(1000));
+  }
+  EXPECT_GE(fleet.SentTo(13), 15);
+  EXPECT_LE(fleet.SentTo(13), 90);  // The whole budget of its warm-up: 4 times 30 connections, part warm.
+}
+
+}  // namespace
+}  // namespace arrowhatch
