--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -67,7 +67,8 @@
 // A crossing of zones that costs one point counts like so much utilisation.
 constexpr double kZoneWeight = 5.0;
 
-constexpr double kColdSafety = 0.5;  // Part of the cold budget used: capacity is estimated, arrivals vary.
+// Part of the cold budget used: capacity is estimated, arrivals vary.
+constexpr double kColdPart = 0.4;
 // Reports are made now and then and come late: own sends of so long may be missing in one, and those up to
 // this long before the last look at the server are missing in none that differs from what was seen then.
 constexpr Micros kReportAge = milliseconds(1500);
@@ -643,14 +644,17 @@
   }
 
   // Every gateway keeps its own share of the budget, so that all together keep the whole. The bucket holds
-  // one window's worth and a fraction of a connection carried over, which rounds at random over the gateways.
+  // part of a window's worth and a fraction of a connection carried over, which rounds at random over the
+  // gateways.
   void FillCold(Server& s) {
     if (s.cold_at == now_) return;
     const double age = Seconds(now_ - s.cold_from) / std::max(Seconds(set_.cold_time), 1e-6);
     const double present = std::min(1.0, set_.cold_share + (1 - set_.cold_share) * std::max(0.0, age));
-    const double fill = full_share_ / std::max(Seconds(set_.cold_time), 1e-6);  // Fills it over its warm-up.
-    const double rate = kColdSafety * set_.cold_multiple * present * fill;
-    const double burst = 1.0 + rate * Seconds(set_.cold_window);
+    // What it can do at a moment is to carry so many connections; sent a multiple of that in a window it
+    // falls.
+    const double rate =
+        kColdPart * set_.cold_multiple * present * full_share_ / std::max(Seconds(set_.cold_window), 1e-6);
+    const double burst = 1.0 + rate * Seconds(set_.cold_window) / 4;  // Comes on top in one window.
     s.cold_tokens = std::min(burst, s.cold_tokens + rate * Seconds(now_ - s.cold_at));
     s.cold_at = now_;
   }
