--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,8 +50,11 @@
 // Figures take no notice of a move for about a report's age: no further move from the server until then.
 constexpr Micros kSettle = seconds(3);
 
-constexpr int kSampleSends = 4;                       // Probe a server after so many own sends there.
-constexpr Micros kSampleInterval = seconds(3);        // Sample held servers no more often than this.
+constexpr int kSampleSends = 4;                 // Probe a server after so many own sends there.
+constexpr Micros kSampleInterval = seconds(3);  // Sample held servers no more often than this.
+constexpr Micros kHotInterval =
+    seconds(1);                     // Likewise on a server near full, with too few arrivals to tell of it.
+constexpr double kHotSample = 0.4;  // Charged for one: what stands too full must not wait for its turn.
 constexpr Micros kBlankInterval = milliseconds(500);  // Likewise while reports come back empty.
 constexpr double kSamplesPerRequest = 1.5;  // Budget of samples: keeps their price independent of fleet size.
 constexpr double kMinSampleRate = 0.2;  // A second: a gateway without arrivals still watches what it holds.
@@ -88,7 +91,7 @@
 constexpr double kRoomBack = 0.65;
 constexpr Micros kHerdMemory = seconds(2);  // About the age of what the other gateways know, too.
 // A client that comes back seldom does so alone: with thin traffic own sends tell of a herd when it is over.
-constexpr double kHerdPrior = 1.0;
+constexpr double kHerdPrior = 2.0;
 // Of what the others would send if they did as this one: part of it their reports show already, and one that
 // drains or has just started sends little.
 constexpr double kHerdPart = 0.5;
@@ -482,20 +485,22 @@
   void Sample() {
     if (!CanProbe() && set_.reports != ReportMode::kOff) return;
     if (sample_allowance_ < 0) sample_allowance_ = static_cast<double>(std::min(held_, servers_.size()));
-    const double rate = std::max(kMinSampleRate, kSamplesPerRequest * ArrivalRate());
+    const double by_arrivals = kSamplesPerRequest * ArrivalRate();
+    const double rate = std::max(kMinSampleRate, by_arrivals);
     sample_allowance_ = std::min(sample_allowance_ + rate * Seconds(kTick), std::max(2.0, sample_allowance_));
     int this_tick = 8;
     for (std::size_t k = 0; k < eligible_.size() && sample_allowance_ >= 1 && this_tick > 0; ++k) {
       sample_cursor_ = (sample_cursor_ + 1) % eligible_.size();
       const int i = eligible_[sample_cursor_];
       Server& s = servers_[i];
-      const Micros interval = s.has_figure ? kSampleInterval : kBlankInterval;
+      const bool hot = s.has_figure && s.figure > kAdmit && by_arrivals < kMinSampleRate;
+      const Micros interval = hot ? kHotInterval : s.has_figure ? kSampleInterval : kBlankInterval;
       if (s.held.empty() || (s.figure_at.count() > 0 && now_ < s.figure_at + interval)) continue;
       if (set_.reports == ReportMode::kOff) {
         TakeFigure(i, *FigureOf(i, std::nullopt));
       } else if (Probe(i)) {
         s.sampled = true;
-        sample_allowance_ -= 1;
+        sample_allowance_ -= hot ? kHotSample : 1.0;
         --this_tick;
       }
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -136,5 +136,30 @@
   EXPECT_GE(fleet.SentTo(13), 40);
 }
 
+// Nothing but its own samples tells a gateway without arrivals what its client stands on. One look in five
+// seconds left clients for ten on servers that answered nobody in time.
+TEST(Fleet, AGatewayWithoutArrivalsLooksOftenerAtAFullServer) {
+  const auto probes_of = [](double load) {
+    Settings s = PlainSettings();
+    s.gateways = kGateways;
+    Harness h(s);
+    h.List({Ready(1), Ready(2)});
+    h.Resume(1, 1);
+    h.Report(2, load);
+    h.Report(1, load);  // As full as the other: no move is asked for.
+    int probes = 0;
+    for (int k = 0; k < 100; ++k) {
+      for (const Action& a : h.Pass(Ms(100))) {
+        if (!std::holds_alternative<ProbeServer>(a)) continue;
+        ++probes;
+        h.Report(1, load);
+      }
+    }
+    return probes;
+  };
+  EXPECT_GE(probes_of(0.9), 5);
+  EXPECT_LE(probes_of(0.5), 3);
+}
+
 }  // namespace
 }  // namespace arrowhatch
