--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -52,8 +52,7 @@
 
 constexpr int kSampleSends = 4;                 // Probe a server after so many own sends there.
 constexpr Micros kSampleInterval = seconds(3);  // Sample held servers no more often than this.
-constexpr Micros kHotInterval =
-    seconds(1);                     // Likewise on a server near full, with too few arrivals to tell of it.
+constexpr Micros kHotInterval = seconds(1);     // Likewise near full, where few arrivals tell of it.
 constexpr double kHotSample = 0.4;  // Charged for one: what stands too full must not wait for its turn.
 constexpr Micros kBlankInterval = milliseconds(500);  // Likewise while reports come back empty.
 constexpr double kSamplesPerRequest = 1.5;  // Budget of samples: keeps their price independent of fleet size.
@@ -61,6 +60,7 @@
 constexpr Micros kTick = milliseconds(250);  // Period of sampling and of looking again for held requests.
 
 constexpr int kPoolTarget = 4;             // Fresh answers wanted for a landing.
+constexpr int kThinTarget = 3;             // Where each would serve but one landing.
 constexpr std::size_t kPoolSize = 12;      // Answers kept.
 constexpr int kPoolUses = 2;               // An answer used more often would herd the gateway's clients.
 constexpr Micros kPoolAge = seconds(1);    // About the age of a report when it comes: older ones mislead.
@@ -471,8 +471,10 @@
       return;
     }
     if (CanProbe() && !eligible_.empty()) {
-      const int fresh = FreshAnswers(r);
-      for (int k = std::min(fresh, kPoolTarget - 1); k < kPoolTarget; ++k) {
+      const auto usable = [&](const PoolAnswer& a) { return Usable(r, a); };
+      const auto fresh = std::count_if(pool_.begin(), pool_.end(), usable);
+      const std::ptrdiff_t target = Thin() ? kThinTarget : kPoolTarget;
+      for (auto k = std::min(fresh, target - 1); k < target; ++k) {
         const int i = LandingCandidate(r);
         if (i != kNone && Probe(i)) r.awaited.push_back(i);
       }
@@ -481,26 +483,35 @@
     Wait(r, now_ + FromSeconds(Seconds(ClassOf(r).aim) * kAimForProbes));
   }
 
+  // One of many gateways: arrivals tell it little, and its answers are old when it uses them.
+  bool Thin() const {
+    return set_.gateways > eligible_.size() && kSamplesPerRequest * ArrivalRate() < kMinSampleRate;
+  }
+
   // Samples of the servers on which this gateway holds connections, oldest figures first by turns.
   void Sample() {
     if (!CanProbe() && set_.reports != ReportMode::kOff) return;
-    if (sample_allowance_ < 0) sample_allowance_ = static_cast<double>(std::min(held_, servers_.size()));
-    const double by_arrivals = kSamplesPerRequest * ArrivalRate();
-    const double rate = std::max(kMinSampleRate, by_arrivals);
+    // A look at each that is held, at most two by all gateways together.
+    if (sample_allowance_ < 0)
+      sample_allowance_ =
+          std::min(1.0, 2.0 / set_.gateways) * static_cast<double>(std::min(held_, servers_.size()));
+    const double rate = std::max(kMinSampleRate, kSamplesPerRequest * ArrivalRate());
     sample_allowance_ = std::min(sample_allowance_ + rate * Seconds(kTick), std::max(2.0, sample_allowance_));
     int this_tick = 8;
-    for (std::size_t k = 0; k < eligible_.size() && sample_allowance_ >= 1 && this_tick > 0; ++k) {
+    const double least = Thin() ? kHotSample : 1.0;
+    for (std::size_t k = 0; k < eligible_.size() && sample_allowance_ >= least && this_tick > 0; ++k) {
       sample_cursor_ = (sample_cursor_ + 1) % eligible_.size();
       const int i = eligible_[sample_cursor_];
       Server& s = servers_[i];
-      const bool hot = s.has_figure && s.figure > kAdmit && by_arrivals < kMinSampleRate;
-      const Micros interval = hot ? kHotInterval : s.has_figure ? kSampleInterval : kBlankInterval;
-      if (s.held.empty() || (s.figure_at.count() > 0 && now_ < s.figure_at + interval)) continue;
+      const double charge = s.has_figure && s.figure > kAdmit ? least : 1.0;
+      const Micros interval = charge < 1 ? kHotInterval : s.has_figure ? kSampleInterval : kBlankInterval;
+      const bool due = s.figure_at.count() == 0 || now_ >= s.figure_at + interval;
+      if (s.held.empty() || !due || sample_allowance_ < charge) continue;
       if (set_.reports == ReportMode::kOff) {
         TakeFigure(i, *FigureOf(i, std::nullopt));
       } else if (Probe(i)) {
         s.sampled = true;
-        sample_allowance_ -= hot ? kHotSample : 1.0;
+        sample_allowance_ -= charge;
         --this_tick;
       }
     }
@@ -569,10 +580,6 @@
     return a.uses < kPoolUses && now_ <= a.at + kPoolAge && now_ >= servers_[a.server].avoid_until &&
            !Contains(r.tried, a.server) && MaySend(r, a.server);
   }
-  int FreshAnswers(const Request& r) {
-    return static_cast<int>(
-        std::count_if(pool_.begin(), pool_.end(), [&](const PoolAnswer& a) { return Usable(r, a); }));
-  }
 
   double Cost(const Server& s) const {
     return Estimate(s) + (s.entry.zone == set_.zone ? 0.0 : kZoneWeight * set_.zone_price);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -136,6 +136,22 @@
   EXPECT_GE(fleet.SentTo(13), 40);
 }
 
+// Looked at by each gateway that holds a client there, a server answered the same question a hundred times.
+TEST(Fleet, ProbesDoNotGrowWithTheGatewaysThatStartTogether) {
+  int probes = 0;
+  for (std::size_t k = 0; k < kGateways; ++k) {
+    Settings s = PlainSettings();
+    s.gateways = kGateways;
+    s.seed = k;
+    Harness h(s);
+    h.List({Ready(1), Ready(2), Ready(3), Ready(4)});
+    for (std::uint64_t id = 1; id <= 4; ++id) h.Resume(id, id);
+    for (const Action& a : h.Pass(Ms(500))) probes += std::holds_alternative<ProbeServer>(a) ? 1 : 0;
+    for (const Action& a : h.Request(9)) probes += std::holds_alternative<ProbeServer>(a) ? 1 : 0;
+  }
+  EXPECT_LE(probes, 320);  // Three for each landing; each gateway looked at all four besides.
+}
+
 // Nothing but its own samples tells a gateway without arrivals what its client stands on. One look in five
 // seconds left clients for ten on servers that answered nobody in time.
 TEST(Fleet, AGatewayWithoutArrivalsLooksOftenerAtAFullServer) {
