Tests of half lists, lists without a host that answers, and hosts that answer nonsense

Need: in a fleet of a hundred, retries that are bounded at one relay still add up, so the bad input that the issue names must be shown to cost a bounded number of tries.

Checked: half a line of a list and then silence is dropped after 3 s, counted as a failed watch, and the list in force stays; a list whose only host refuses costs at most five legs and ends in BUSY, and the next list serves at once; a host that answers nonsense is counted (legs_error) and the client is served by another leg. The scenarios' language gains `raw`.

--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -356,10 +356,46 @@
   SECTION("silent") {
     Play("discovery send {\"revision\":2,\"members\":[]}\nwait 3200\ndiscovery watches 2");
   }
+  SECTION("half a line") {
+    Play("discovery raw {\"revision\":9,\"complete\":true,\"mem\nwait 3200\ndiscovery watches 2");
+    CHECK(Counts().watches_failed == 1);
+    CHECK(Counts().lists == 0);
+  }
   SECTION("malformed") { Play("discovery send {\"revision\":\nwait 100\ndiscovery watches 2"); }
   Play(kStand);
 }
 
+TEST_CASE_METHOD(Alone,
+                 "a list without any host that answers costs bounded tries, and the next list serves") {
+  Play(R"(
+    discovery send {"revision":5,"complete":true,"members":[{"id":"s-9","host_port":"127.0.0.1:1"}]}
+    a send OPEN 1 k c=watch,d=600
+    wait 600
+    a expect BUSY*
+    discovery send {"revision":6,"complete":true,"members":[{"id":"s-1","host_port":"","phase":"ready"}]}
+    b send OPEN 2 k c=watch,d=2000
+    s-1 expect OPEN 2 k*
+    s-1 send UP r1
+    b expect UP r1
+  )");
+  CHECK(Counts().legs_not_connected >= 1);
+  CHECK(Counts().legs_not_connected <= 5);
+}
+
+TEST_CASE_METHOD(Alone, "a host that answers nonsense is counted and tried again within bounds") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=2000
+    s-1 expect OPEN 1 k*
+    s-1 send ?? 17
+    s-1 expect-end
+    wait 400
+    s-1#2 expect OPEN 1 k*
+    s-1#2 send UP r2
+    a expect UP r2
+  )");
+  CHECK(Counts().legs_error == 1);
+}
+
 // Discovery serves calls in turn: a hundred relays that lose their watches together overran it for good.
 TEST_CASE("one relay of a hundred begins its watch within a spread and comes again late") {
   World world({"s-1"}, 0, 100);
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -253,9 +253,10 @@
     } else {
       REQUIRE(Until([&] { return !discovery.legs.empty(); }));
       Peer& watch = *discovery.legs.back();
-      if (verb == "send") {
+      if (verb == "send" || verb == "raw") {
+        const std::string body = verb == "send" ? text + "\n" : text;
         std::ostringstream chunk;
-        chunk << std::hex << text.size() + 1 << "\r\n" << text << "\n\r\n";
+        chunk << std::hex << body.size() << "\r\n" << body << "\r\n";
         watch.Send(chunk.str());
       } else if (verb == "watches") {
         REQUIRE(Until([&] { return discovery.legs.size() >= std::stoul(text); }));
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -14,6 +14,7 @@
 //   s-1 ...               the same for the first leg at host s-1 (s-1#2: the second); `s-1 legs N`: so many
 //   s-1 down | full | load X            refuses connections; lets them wait unanswered; what its probes tell
 //   discovery send JSON | close | refuse | serve    a line of the watch; ends it; answers 503; serves again
+//   discovery raw TEXT    a part of a line
 //   discovery watches N | asked TEXT | expect-end   of the watches held there; likewise for discovery2
 //   reload discovery2     takes up a configuration that names it
 //   wait MS | drain | stopped
