--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -324,6 +324,7 @@
     if (!s.has_figure) return;
     s.has_figure = false;
     figure_sum_ -= std::min(s.figure, kFigureCap);
+    s.figure = 0;  // Else a restarted server would count as full as it was.
     --figures_;
   }
 
@@ -656,8 +657,7 @@
   }
 
   // Every gateway keeps its own share of the budget, so that all together keep the whole. The bucket holds
-  // part of a window's worth and a fraction of a connection carried over, which rounds at random over the
-  // gateways.
+  // part of a window's worth and a fraction of a connection, which rounds at random over the gateways.
   void FillCold(Server& s) {
     if (s.cold_at == now_) return;
     const double age = Seconds(now_ - s.cold_from) / std::max(Seconds(set_.cold_time), 1e-6);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,7 @@
 // A hundred gateways side by side that share nothing: what is harmless at one and harmful when all do it.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <variant>
@@ -136,6 +137,28 @@
   EXPECT_GE(fleet.SentTo(13), 40);
 }
 
+// What it told before its restart kept a cold server from being looked at first.
+TEST(Fleet, ARestartedServerIsOpenThoughItWasFull) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Settings s = PlainSettings();
+    s.seed = seed;
+    Harness h(s);
+    std::vector<ServerEntry> list;
+    for (std::uint64_t id = 1; id <= 12; ++id) list.push_back(Ready(id));
+    h.List(list);
+    for (std::uint64_t id = 1; id <= 12; ++id) h.Report(id, 0.9, 27);
+    h.Pass(Ms(1000));
+    list[6].started = h.now;
+    h.List({list[6]}, ServerList::Kind::kChanges);
+    h.Pass(Ms(1000));
+    const auto actions = h.Request(1);
+    const auto first = std::find_if(actions.begin(), actions.end(),
+                                    [](const Action& a) { return std::holds_alternative<ProbeServer>(a); });
+    ASSERT_NE(first, actions.end());
+    EXPECT_EQ(std::get<ProbeServer>(*first).server, Sv(7)) << "seed " << seed;
+  }
+}
+
 // Looked at by each gateway that holds a client there, a server answered the same question a hundred times.
 TEST(Fleet, ProbesDoNotGrowWithTheGatewaysThatStartTogether) {
   int probes = 0;
