Second address for the operators, inherited listening socket, figures and drain

Design, in four parts: - Acquirer::Inherit checks that the descriptor is an IPv4 TCP socket that listens (fstat, SO_DOMAIN, SO_TYPE, SO_ACCEPTCONN) and refuses anything else with a configuration error naming PROXY_ACCEPT_FD, exit 2. Stopping leaves the queue of an inherited socket to the next process; a planned end with it stops taking at once, for the successor is already serving. - src/ops/management: HTTP/1.1 on `management` / $PROXY_MANAGEMENT with http_parser (already used for discovery), one call a connection, answered in the turn in which the request is whole. Routes are a pure table (404, 405 with Allow, 400 for malformed or oversized heads, 413 for bodies). - src/drain/plan: pure; after the call PING gets ERR and readiness 503; the standing connections are moved from 0.4 s on, evenly over 2.2 s, and what comes up later at the next 50 ms step.

Not taken: a second loop or thread for the second address. One call a connection is answered at once within the loop, whose turns are short; a thread would add locking around every counter for no gain in latency.

--- a/include/arrowhatch/balancer.h
+++ b/include/arrowhatch/balancer.h
@@ -11,6 +11,7 @@
 #define ARROWHATCH_BALANCER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -177,6 +178,8 @@
 
   // Takes one event and appends the actions to carry out now, in order.
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
+  // Listed servers that this gateway avoids at `now` after failures: the operators' `ejected`.
+  std::size_t avoided(Micros now) const;
 
  private:
   class Impl;
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -13,7 +13,9 @@
 #include "net/config.h"
 #include "net/deadlines.h"
 #include "net/relay.h"
+#include "ops/figures.h"
 #include "ops/log.h"
+#include "ops/management.h"
 #include "ops/operator_file.h"
 
 namespace stoatrun::cli {
@@ -28,7 +30,7 @@
   SetLogForm(log.form() == config::Log::JSON ? LogForm::kJson : LogForm::kText);
 }
 
-class Service {
+class Service : private ManagementEvents {
  public:
   Service(const Common& common, const Config& config, const config::OperatorFile& file)
       : common_(common), file_(file) {
@@ -41,6 +43,7 @@
       }
     }
     relay_.emplace(loop_, config, keeper_ ? &*keeper_ : nullptr);
+    if (config.management) management_.emplace(loop_, static_cast<ManagementEvents&>(*this));
     Watch(term_, SIGTERM, OnEnd);
     Watch(interrupt_, SIGINT, OnEnd);
     Watch(usr1_, SIGUSR1, OnPrint);
@@ -51,6 +54,10 @@
 
   void Serve(const Config& config) {
     relay_->Start();
+    if (management_) {
+      management_->Listen(*config.management);
+      LogLine(Level::kInfo, "management").Field("address", config.management_text);
+    }
     LogLine(Level::kInfo, "ready").Field("name", config.name).Field("port", relay_->Port());
     loop_.Run();
     const bool kept = !keeper_ || keeper_->Finish(kLedgerEnd);
@@ -90,6 +97,25 @@
     *file_.mutable_log() = file.log();
   }
 
+  ManagementAnswer OnCall(ManagementCall call) override {
+    switch (call) {
+      case ManagementCall::kReady:
+        return relay_->Ready() ? ManagementAnswer{200, "ready"} : ManagementAnswer{503, "not ready"};
+      case ManagementCall::kMetrics: {
+        const Figures figures{relay_->ClassNames(), relay_->Counts().classes, relay_->Outstanding(),
+                              relay_->Discovered(), relay_->Ejected()};
+        return {200, FormatFigures(figures)};
+      }
+      case ManagementCall::kDrain:
+        relay_->DrainByCall();
+        return {200, "draining"};
+      case ManagementCall::kActivate:
+        relay_->Activate();
+        return relay_->Ready() ? ManagementAnswer{200, "active"} : ManagementAnswer{503, "ending"};
+    }
+    return {500, "unknown call"};
+  }
+
   void Print() {
     if (keeper_) keeper_->CheckNow();
     LogLine record(Level::kInfo, "counters");
@@ -104,6 +130,7 @@
   std::optional<ledger::Keeper> keeper_;
   std::optional<ledger::Courier> courier_;
   std::optional<Relay> relay_;  // Ends before what it tells.
+  std::optional<Management> management_;
   ev_signal term_{}, interrupt_{}, usr1_{}, hangup_{};
 };
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -36,16 +36,13 @@
 // room and a move would gain nothing.
 constexpr double kMargin = 0.4;
 constexpr double kIdle = 0.2;  // Idle: a told load under this part of the mean of those on the server.
-// The mean counts no figure higher than this: a few servers asked for many times what they can do would
-// otherwise hide every other trouble behind a mean of more than the capacity.
+// The mean counts no figure over this: a few servers asked for many times their capacity would hide the rest.
 constexpr double kFigureCap = 1.0;
 // A server near or over its capacity is sick: a step of 5% a figure would take minutes. Then all that lies
 // over kRelief goes. Each gateway takes that part of its own connections once for a figure, so all together
 // take it once: the step needs no damping.
-constexpr double kSick = 0.95;
-constexpr double kRelief = 0.8;
-// A message later than its aim says that more is asked of the server than it can do; how much more is not
-// told.
+constexpr double kSick = 0.95, kRelief = 0.8;
+// A message later than its aim: more is asked of the server than it can do, by an amount not told.
 constexpr double kDelayFigure = 1.2;
 // Figures take no notice of a move for about a report's age: no further move from the server until then.
 constexpr Micros kSettle = seconds(3);
@@ -82,8 +79,7 @@
 constexpr Micros kAvoidBase = milliseconds(500);  // A failed server is avoided so long, doubled each time ...
 constexpr int kAvoidDoublings = 4;                // ... up to 16 times.
 constexpr double kFirstTimeout = 0.5;  // Part of the time left for an attempt while others may follow.
-// With even the best server over this, set-ups are refused: a server asked for more than it can do serves
-// nobody.
+// With even the best server over this, set-ups are refused: a server asked for too much serves nobody.
 constexpr double kAdmit = 0.8;
 // Those that return after a break or a move bring no new load: the figures still count them where they were.
 // Not so once the fleet is full: then what broke them is too much load, which they would bring back.
@@ -102,8 +98,7 @@
 constexpr double kAttemptsFree = 4.0;
 constexpr Micros kFaultMemory = seconds(2);  // Longer than a set-up may take, short enough to try again soon.
 // Set-ups out at once, as TCP sets its window: one more for each that stands, less by this factor for one
-// that timed out. When thousands come again at once they wait here, not in a queue that outlasts their
-// patience.
+// that timed out. When thousands come again at once they wait here, not in a queue that outlasts them.
 constexpr double kWindowStart = 8.0;
 constexpr double kWindowMax = 64.0;
 constexpr double kWindowCut = 0.5;
@@ -221,6 +216,11 @@
     std::visit([this](const auto& e) { On(e); }, event);
     RunTimers();
   }
+  std::size_t Avoided(Micros now) const {  // Listed, and not tried for now after failures.
+    std::size_t n = 0;
+    for (const Server& s : servers_) n += s.entry.state != ServerState::kGone && now < s.avoid_until ? 1 : 0;
+    return n;
+  }
 
  private:
   void Emit(const Action& action) { out_->push_back(action); }
@@ -662,8 +662,7 @@
     if (s.cold_at == now_) return;
     const double age = Seconds(now_ - s.cold_from) / std::max(Seconds(set_.cold_time), 1e-6);
     const double present = std::min(1.0, set_.cold_share + (1 - set_.cold_share) * std::max(0.0, age));
-    // What it can do at a moment is to carry so many connections; sent a multiple of that in a window it
-    // falls.
+    // What it can do at a moment is to carry so many connections; sent a multiple of that in a window, falls.
     const double rate =
         kColdPart * set_.cold_multiple * present * full_share_ / std::max(Seconds(set_.cold_window), 1e-6);
     const double burst = 1.0 + rate * Seconds(set_.cold_window) / 4;  // Comes on top in one window.
@@ -899,8 +898,7 @@
 
   // ---- 10 overload ----
 
-  // A server asked for more than it can do serves nobody within the aim: one more set-up there takes from
-  // all.
+  // A server asked for more than it can do serves nobody within the aim: one more set-up takes from all.
   bool TooFull(const Request& r, int i) const {
     const bool back = r.info.came_back && Mean() <= kRoomBack;
     const double over =
@@ -1024,5 +1022,6 @@
 void Balancer::handle(Micros now, const Event& event, std::vector<Action>& actions) {
   impl_->Handle(now, event, actions);
 }
+std::size_t Balancer::avoided(Micros now) const { return impl_->Avoided(now); }
 
 }  // namespace arrowhatch
--- /dev/null
+++ b/src/drain/plan.h
@@ -0,0 +1,51 @@
+// The operators' drain of the relay (`POST /v1/relay/drain`, `/v1/relay/activate`): when the relay says no to
+// the front, and how many of its standing connections it moves at each step. Pure: time is handed in.
+//
+// The front asks every 0.1 s and sends new connections for 0.2 s after the first no, so connections still
+// come up for a while after the call; moving begins once a moved client can no longer be sent back here, and
+// all are moved well before the 4 s after which a connection that is still held counts as lost. What comes up
+// later than the spread is moved at the next step.
+#ifndef STOATRUN_DRAIN_PLAN_H_
+#define STOATRUN_DRAIN_PLAN_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace stoatrun::drain {
+
+using Micros = std::chrono::microseconds;
+
+struct Pace {
+  Micros hold{400'000};      // From the call until the first move.
+  Micros spread{2'200'000};  // Over which the connections held at the first move go, evenly.
+  Micros step{50'000};
+};
+
+struct Step {
+  std::size_t moves = 0;  // Of the standing connections, so many now.
+  Micros next{0};         // When to step again; 0: not while serving.
+};
+
+class Plan {
+ public:
+  explicit Plan(const Pace& pace = {}) : pace_(pace) {}
+
+  // Both are harmless when repeated: a second drain keeps the first one's times.
+  void Drain(Micros now);
+  void Activate();
+
+  bool Draining() const { return draining_; }
+  // What the front and the readiness check are told.
+  bool SaysYes() const { return !draining_; }
+  // Of `standing` connections held at `now`.
+  Step At(Micros now, std::size_t standing) const;
+
+ private:
+  Pace pace_;
+  bool draining_ = false;
+  Micros since_{0};
+};
+
+}  // namespace stoatrun::drain
+
+#endif  // STOATRUN_DRAIN_PLAN_H_
--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 #include <string>
 #include <system_error>
 
+#include "net/config.h"
 #include "ops/log.h"
 
 namespace stoatrun {
@@ -63,19 +65,52 @@
 
 void Acquirer::Listen(const Address& address) {
   const auto fail = [](const char* what) { throw std::system_error(errno, std::generic_category(), what); };
-  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0) fail("socket");
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) fail("socket");
+  // Kept only once it listens: what failed half-way is no door to empty or close at the end.
+  const auto give_up = [fd, &fail](const char* what) {
+    const int error = errno;
+    close(fd);
+    errno = error;
+    fail(what);
+  };
   const int on = 1;  // A restarted relay takes its address again though old connections linger there.
-  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind(fd_, reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0) fail("bind");
-  if (listen(fd_, SOMAXCONN) != 0) fail("listen");
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0) give_up("bind");
+  if (listen(fd, SOMAXCONN) != 0) give_up("listen");
+  fd_ = fd;
+  ev_io_set(&accept_, fd_, EV_READ);
+  ev_io_start(loop_.Raw(), &accept_);
+}
+
+void Acquirer::Inherit(int fd) {
+  const auto refuse = [fd](std::string_view why) {
+    throw ConfigError("PROXY_ACCEPT_FD: descriptor " + std::to_string(fd) + " " + std::string(why));
+  };
+  struct stat about {};
+  if (fstat(fd, &about) != 0) refuse("is not open");
+  if (!S_ISSOCK(about.st_mode)) refuse("is not a socket");
+  const auto option = [fd](int name) {
+    int value = -1;
+    socklen_t size = sizeof value;
+    return getsockopt(fd, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
+  };
+  if (option(SO_DOMAIN) != AF_INET) refuse("is not an IPv4 socket");
+  if (option(SO_TYPE) != SOCK_STREAM) refuse("is not a TCP socket");
+  if (option(SO_ACCEPTCONN) != 1) refuse("does not listen");
+  // Programs that this one might start must not keep the clients' door open.
+  if (fcntl(fd, F_SETFD, FD_CLOEXEC) != 0 || fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK) != 0) {
+    refuse("can't be made non-blocking");
+  }
+  fd_ = fd;
+  inherited_ = true;
   ev_io_set(&accept_, fd_, EV_READ);
   ev_io_start(loop_.Raw(), &accept_);
 }
 
 void Acquirer::StopListening() {
   if (fd_ < 0) return;
-  Accept();  // What already waits in the queue would be reset.
+  if (!inherited_) Accept();  // What already waits in the queue would be reset.
   ev_io_stop(loop_.Raw(), &accept_);
   close(fd_);
   fd_ = -1;
@@ -252,7 +287,7 @@
     if (line == "PING") {
       ++counters_.pings;
       if (c.stream.Queued() > Stream::kHighWater) return Malformed(c, "reads no answers");
-      c.stream.Write({"PONG\r\n"});
+      c.stream.Write({says_yes_ ? std::string_view("PONG\r\n") : kFailureLine});
       c.stream.Consume(*size);
       c.deadline.Set(loop_.Now() + kHeadWait);
       continue;
@@ -263,6 +298,7 @@
     if (const auto objection = events_.Objection(*head); !objection.empty()) return Malformed(c, objection);
     if (!TakesAnother()) {
       ++counters_.no_room;
+      events_.OnNoRoom(*head);
       if (wants_.Allows(loop_.Now())) {
         LogLine(Level::kWarn, "no descriptors for another client,").Field("left_out", wants_.TakeLeftOut());
       }
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -28,6 +28,8 @@
   virtual void OnClientBytes(SlotId owner) = 0;
   virtual void OnClientEnd(SlotId owner, StreamEnd end) = 0;
   virtual void OnClientRoom(SlotId owner) = 0;
+  // A first line of the right form that is turned away for want of descriptors.
+  virtual void OnNoRoom(const OpenHead& /*head*/) {}
 };
 
 class Acquirer : public StreamHandler {
@@ -39,6 +41,14 @@
   Acquirer& operator=(const Acquirer&) = delete;
 
   void Listen(const Address& address);  // Throws std::system_error.
+  // Takes a listening socket that the platform holds and hands to each process in turn. Throws ConfigError if
+  // `fd` is no listening TCP socket over IPv4.
+  void Inherit(int fd);
+  bool Inherited() const { return inherited_; }
+  // What PING is answered: PONG while the front may send clients here, ERR while not.
+  void SayYes(bool yes) { says_yes_ = yes; }
+  // Ends the taking of clients. Of a socket of its own the queue is emptied first, for closing it would reset
+  // those who wait there; an inherited one keeps them for the process that comes next.
   void StopListening();
   int Port() const;
 
@@ -88,6 +98,8 @@
   Counters& counters_;
   ev_io accept_{};
   int fd_ = -1;
+  bool inherited_ = false;
+  bool says_yes_ = true;
   int spare_fd_ = -1;
   const std::size_t descriptors_;
   Slots<Client> clients_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -28,6 +28,15 @@
   return *address;
 }
 
+int DescriptorOf(const std::string& text) {
+  int fd = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fd);
+  if (error != std::errc() || end != text.data() + text.size() || fd < 0) {
+    throw ConfigError("PROXY_ACCEPT_FD: expected the number of a descriptor, got '" + text + "'");
+  }
+  return fd;
+}
+
 std::uint64_t ReadSeed(const object& o) {
   const auto e = Get(o, "seed");
   if (!e) throw ConfigError("seed: missing");
@@ -43,7 +52,7 @@
 
 // The environment's values, where they go before the file's.
 struct Given {
-  std::optional<std::string> name, listen, discovery;
+  std::optional<std::string> name, listen, discovery, management;
   LoadAt when = LoadAt::kStart;
 };
 
@@ -69,6 +78,12 @@
     const bool file_first = env.when == LoadAt::kReload && Get(o, "discovery");
     c.discovery_text = text("discovery", file_first ? std::nullopt : env.discovery);
     c.discovery = AddressOf("discovery", c.discovery_text);
+    if (env.management) {
+      c.management_text = *env.management;
+    } else if (const auto e = Get(o, "management"); e && !e->is_null()) {
+      c.management_text = std::string(AsText(*e, "management"));
+    }
+    if (!c.management_text.empty()) c.management = AddressOf("management", c.management_text);
     const auto settings = Get(o, "settings");
     if (!settings) throw ConfigError("settings: missing");
     c.site = ReadSettings(*settings, ReadSeed(o));
@@ -119,8 +134,9 @@
   if (const auto error = simdjson::padded_string::load(*path).get(text); error != simdjson::SUCCESS) {
     throw ConfigError(*path + ": " + simdjson::error_message(error));
   }
-  Config c =
-      Parse(std::string_view(text), {Env("PROXY_NAME"), Env("PROXY_LISTEN"), Env("PROXY_DISCOVERY"), when});
+  Config c = Parse(std::string_view(text), {Env("PROXY_NAME"), Env("PROXY_LISTEN"), Env("PROXY_DISCOVERY"),
+                                            Env("PROXY_MANAGEMENT"), when});
+  if (const auto fd = Env("PROXY_ACCEPT_FD")) c.accept_fd = DescriptorOf(*fd);
   if (const auto level = Env("STOATRUN_LOG")) {
     const auto named = LevelNamed(*level);
     if (!named) throw ConfigError("STOATRUN_LOG: expected debug, info, warn or error, got '" + *level + "'");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -30,7 +30,12 @@
   std::optional<Level> log_level;  // By STOATRUN_LOG.
   HostList known;
   arrowhatch::settings::SiteSettings site;
-  std::size_t sockets = 0;    // Descriptors it may hold, by `limits.sockets`; 0: not told.
+  std::size_t sockets = 0;  // Descriptors it may hold, by `limits.sockets`; 0: not told.
+  // The second address, for the operators' calls (`management`, PROXY_MANAGEMENT); none: not told.
+  std::optional<Address> management;
+  std::string management_text;
+  // A listening socket that the platform holds for the clients (PROXY_ACCEPT_FD); none: the relay binds.
+  std::optional<int> accept_fd;
   std::string settings_text;  // As the file has them, to tell at a reload whether they changed.
 };
 
--- a/src/net/issuer.cpp
+++ b/src/net/issuer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 #include "net/line.h"
 #include "ops/log.h"
@@ -71,6 +72,11 @@
   }
 }
 
+std::size_t Issuer::Listed() const {
+  return static_cast<std::size_t>(
+      std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.phase != HostPhase::kGone; }));
+}
+
 void Issuer::StopSending(HostNumber host) {
   if (hosts_[host].phase == HostPhase::kReady) return;
   std::vector<SlotId> late;
@@ -201,13 +207,18 @@
   } else {
     l->stream.Write({l->work.before_wait, "\r\n"});
   }
-  l->sent = l->stream.Queued() == 0;
+  if (l->stream.Queued() == 0) Sent(*l);
+}
+
+void Issuer::Sent(Link& link) {
+  if (std::exchange(link.sent, true) || link.probe) return;
+  events_.OnLegSent(link.owner);
 }
 
 void Issuer::OnRoom(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
-  l->sent = true;
+  Sent(*l);
   if (!l->probe && l->up) events_.OnLegRoom(l->owner);
 }
 
--- a/src/net/issuer.h
+++ b/src/net/issuer.h
@@ -36,6 +36,8 @@
   // A leg is named by the number its opener gave. `line` is what the host said, with its end; empty where it
   // said nothing.
   virtual void OnLegUp(SlotId owner, std::string_view line) = 0;
+  // The first line's last byte is with the socket: the attempt counts at its host from here on.
+  virtual void OnLegSent(SlotId /*owner*/) {}
   virtual void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) = 0;
   // Of a leg that is up.
   virtual void OnLegBytes(SlotId owner) = 0;
@@ -59,6 +61,7 @@
   std::optional<HostNumber> Known(const std::string& id) const;
   const std::string& IdOf(HostNumber host) const { return hosts_[host].id; }
   void TakeList(const HostList& list);
+  std::size_t Listed() const;  // Hosts in the list now, ready or draining.
 
   // Starts a leg. Its end is told later, never from within this call.
   SlotId Open(SlotId owner, HostNumber host, const LegWork& work);
@@ -99,6 +102,7 @@
   };
 
   void Start(Link& link);
+  void Sent(Link& link);
   void Due(SlotId id);
   void EndLeg(Link& leg, LegEnd end, std::string_view line);
   void EndProbe(Link& link, bool ok, std::string_view report, bool keep);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -80,7 +80,9 @@
       issuer_(loop, *this, counters_, TimesOf(config.site)),
       discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision,
                  {config.site.module.gateways, config.site.module.seed}),
-      drain_(loop.deadlines, [this] { DrainStep(); }) {
+      drain_(loop.deadlines, [this] { DrainStep(); }),
+      plan_step_(loop.deadlines, [this] { PlanStep(); }) {
+  counters_.classes.resize(site_.class_names.size());
   loop_.AddSweeper([this] {
     authorisations_.Sweep();
     timers_.Sweep();
@@ -88,8 +90,45 @@
 }
 
 void Relay::Start() {
-  acquirer_.Listen(start_.listen);
+  if (start_.accept_fd) {
+    acquirer_.Inherit(*start_.accept_fd);
+  } else {
+    acquirer_.Listen(start_.listen);
+  }
   TakeList(start_.known, ListSource::kKnown);
+  started_ = true;
+}
+
+bool Relay::Ready() const { return started_ && phase_ == Phase::kServing && plan_.SaysYes(); }
+
+void Relay::DrainByCall() {
+  ++counters_.drains_called;
+  if (plan_.Draining()) return;
+  LogLine(Level::kInfo, "drain called").Field("authorisations", authorisations_.Size());
+  plan_.Drain(loop_.Now());
+  acquirer_.SayYes(false);
+  PlanStep();
+}
+
+void Relay::Activate() {
+  ++counters_.activations;
+  if (!plan_.Draining()) return;
+  LogLine(Level::kInfo, "activated").Field("authorisations", authorisations_.Size());
+  plan_.Activate();
+  plan_step_.Cancel();
+  acquirer_.SayYes(phase_ == Phase::kServing);
+}
+
+void Relay::PlanStep() {
+  std::vector<SlotId> standing;
+  authorisations_.ForEach([&](const Authorisation& a) {
+    if (a.state == Authorisation::State::kStanding) standing.push_back(a.id);
+  });
+  const drain::Step step = plan_.At(loop_.Now(), standing.size());
+  standing.resize(std::min(standing.size(), step.moves));
+  counters_.drain_moves += standing.size();
+  for (const SlotId id : standing) Move(id);
+  if (step.next.count() > 0) plan_step_.Set(step.next);
 }
 
 void Relay::Reload(const Config& config) {
@@ -158,6 +197,10 @@
     issuer_.Close(std::exchange(a->leg, {}));
     Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, true, {}));
   }
+  if (a->opening.class_index < counters_.classes.size()) {
+    ClassCounters& c = counters_.classes[a->opening.class_index];
+    ++(line.starts_with("BUSY") ? c.declined : c.aborted);
+  }
   acquirer_.End(a->client, line);
   Forget(*a);
 }
@@ -228,10 +271,25 @@
 std::string_view Relay::Objection(const OpenHead& head) {
   if (ClassIndex(head.class_name) >= site_.class_names.size()) return "unknown class";
   // Ids are new for every connection. A second one under an id that is open would be told apart by no host.
-  if (open_ids_.contains(std::string(head.id))) return "id of an open one";
+  if (open_ids_.contains(std::string(head.id))) {
+    ++counters_.classes[ClassIndex(head.class_name)].aborted;
+    return "id of an open one";
+  }
   return {};
 }
 
+void Relay::OnNoRoom(const OpenHead& head) {
+  const std::size_t k = ClassIndex(head.class_name);
+  if (k < counters_.classes.size()) ++counters_.classes[k].declined;
+}
+
+void Relay::OnLegSent(SlotId owner) {
+  const Authorisation* a = authorisations_.Find(owner);
+  if (a != nullptr && a->opening.class_index < counters_.classes.size()) {
+    ++counters_.classes[a->opening.class_index].forwards;
+  }
+}
+
 SlotId Relay::OnOpen(SlotId client, const OpenHead& head) {
   Authorisation& a = authorisations_.Add(*this);
   const SlotId id = a.id;
@@ -275,6 +333,8 @@
   Authorisation* a = authorisations_.Find(owner);
   if (a == nullptr) return;
   ++counters_.up;
+  if (a->opening.class_index < counters_.classes.size())
+    ++counters_.classes[a->opening.class_index].succeeded;
   a->state = Authorisation::State::kStanding;
   a->deadline.Cancel();
   if (meter_ != nullptr) a->use = meter_->Begin(a->group, a->opening.class_index);
@@ -508,9 +568,11 @@
 void Relay::Drain() {
   if (phase_ != Phase::kServing) return;
   phase_ = Phase::kTaking;
+  plan_step_.Cancel();  // The end moves everyone by itself.
   drain_at_ = loop_.Now();
   LogLine(Level::kInfo, "draining").Field("authorisations", authorisations_.Size());
-  drain_.Set(drain_at_ + kTakeFor);
+  // Clients that still come wait in a queue that the platform holds for the next process.
+  drain_.Set(drain_at_ + (acquirer_.Inherited() ? Micros(0) : kTakeFor));
 }
 
 void Relay::DrainStep() {
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "arrowhatch/balancer.h"
+#include "drain/plan.h"
 #include "ledger/meter.h"
 #include "net/acquirer.h"
 #include "net/config.h"
@@ -35,8 +36,18 @@
   // Takes up a replaced configuration: moves the watch. What else changed is logged and waits for a restart.
   void Reload(const Config& config);
   void ReloadFailed(std::string_view why);  // What is in force stays so.
+  // The operators' drain: the front is told no, and the standing connections are moved within a few seconds,
+  // while whoever still comes is served. Both calls are harmless when repeated.
+  void DrainByCall();
+  void Activate();
+  // Can this process serve, and may the front send clients here?
+  bool Ready() const;
   int Port() const { return acquirer_.Port(); }
   const Counters& Counts() const { return counters_; }
+  const std::vector<std::string>& ClassNames() const { return site_.class_names; }
+  std::size_t Outstanding() const { return authorisations_.Size(); }  // Taken and not ended.
+  std::size_t Discovered() const { return issuer_.Listed(); }
+  std::size_t Ejected() const { return balancer_.avoided(loop_.Now()); }
 
  private:
   struct Authorisation {
@@ -77,8 +88,10 @@
   void OnClientBytes(SlotId owner) override;
   void OnClientEnd(SlotId owner, StreamEnd end) override;
   void OnClientRoom(SlotId owner) override;
+  void OnNoRoom(const OpenHead& head) override;
   // IssuerEvents
   void OnLegUp(SlotId owner, std::string_view line) override;
+  void OnLegSent(SlotId owner) override;
   void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) override;
   void OnLegBytes(SlotId owner) override;
   void OnLegFinished(SlotId owner, StreamEnd end) override;
@@ -111,6 +124,7 @@
   void NoteDelay(HostNumber host, Micros delay);
   void Due(SlotId owner);
   void DrainStep();
+  void PlanStep();
   std::size_t ClassIndex(std::string_view name) const;
 
   Loop& loop_;
@@ -135,6 +149,9 @@
   Phase phase_ = Phase::kServing;
   Micros drain_at_{0};
   Deadline drain_;
+  bool started_ = false;
+  drain::Plan plan_;  // The operators' drain, which is not the end of the process.
+  Deadline plan_step_;
 };
 
 }  // namespace stoatrun
--- /dev/null
+++ b/src/ops/routes.cpp
@@ -0,0 +1,32 @@
+#include "ops/routes.h"
+
+#include <array>
+
+namespace stoatrun {
+namespace {
+
+struct Path {
+  std::string_view path, method;
+  ManagementCall call;
+};
+
+constexpr std::array kPaths{
+    Path{"/v1/readyz", "GET", ManagementCall::kReady},
+    Path{"/v1/metrics", "GET", ManagementCall::kMetrics},
+    Path{"/v1/relay/drain", "POST", ManagementCall::kDrain},
+    Path{"/v1/relay/activate", "POST", ManagementCall::kActivate},
+};
+
+}  // namespace
+
+Route RouteOf(std::string_view method, std::string_view target) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const Path& p : kPaths) {
+    if (p.path != path) continue;
+    if (method == p.method) return {p.call, 200, {}};
+    return {std::nullopt, 405, p.method};
+  }
+  return {std::nullopt, 404, {}};
+}
+
+}  // namespace stoatrun
--- /dev/null
+++ b/src/ops/routes.h
@@ -0,0 +1,23 @@
+// Which call a request on the second address is: pure, so that every path and method is tested alone.
+#ifndef STOATRUN_OPS_ROUTES_H_
+#define STOATRUN_OPS_ROUTES_H_
+
+#include <optional>
+#include <string_view>
+
+namespace stoatrun {
+
+enum class ManagementCall { kReady, kMetrics, kDrain, kActivate };
+
+struct Route {
+  std::optional<ManagementCall> call;  // None: answered with `status` alone.
+  int status = 200;
+  std::string_view allow;  // The methods of the path, for a 405.
+};
+
+// `target` as the request line has it: a query is not part of the path.
+Route RouteOf(std::string_view method, std::string_view target);
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_OPS_ROUTES_H_
