--- /dev/null
+++ b/tests/net/operators_test.cpp
@@ -0,0 +1,210 @@
+// The operators' parts of the relay on sockets: their drain, the figures by class, an inherited socket.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "net/acquirer.h"
+#include "net/config.h"
+#include "net/world.h"
+
+namespace stoatrun {
+namespace {
+
+constexpr const char* kStand = R"(
+  a send OPEN 1 k c=watch,d=2000
+  s-1 expect OPEN 1 k c=watch,d=*
+  s-1 send UP r1
+  a expect UP r1
+)";
+
+class Alone : public World {
+ public:
+  Alone() : World({"s-1"}) {}
+};
+
+TEST_CASE_METHOD(Alone, "the operators' drain says no to the front and moves standing clients in time") {
+  Play(kStand);
+  CHECK(Relayed().Ready());
+  Play(R"(
+    drain-call
+    drain-call
+    b send PING
+    b expect ERR
+    wait 300
+    a send M 1 x
+    s-1 expect M 1 x
+    s-1 send M 1 x
+    a expect M 1 x
+  )");
+  CHECK_FALSE(Relayed().Ready());
+  CHECK(Counts().moved == 0);  // Not before a moved client can no longer be sent back here.
+  // Who still comes in the 0.2 s after the first no is served, and moved as well.
+  Play(R"(
+    c send OPEN 3 k c=watch,d=2000
+    s-1#2 expect OPEN 3 k*
+    s-1#2 send UP r3
+    c expect UP r3
+    wait 2400
+    a expect MOVE
+    a expect-end
+    c expect MOVE
+    c expect-end
+    s-1 expect-end
+  )");
+  CHECK(Counts().moved == 2);
+  CHECK(Counts().drain_moves == 2);
+  CHECK(Counts().drains_called == 2);
+  Play(R"(
+    activate
+    activate
+    d send PING
+    d expect PONG
+    e send OPEN 5 k c=watch,d=2000
+    s-1#3 expect OPEN 5 k*
+    s-1#3 send UP r5
+    e expect UP r5
+    wait 3000
+    e send M 5 x
+    s-1#3 expect M 5 x
+  )");
+  CHECK(Relayed().Ready());
+  CHECK(Counts().moved == 2);  // After activate nobody is moved.
+}
+
+TEST_CASE_METHOD(Alone, "a planned end during the operators' drain still ends the process") {
+  Play(kStand);
+  Play("drain-call\nwait 100\ndrain\nwait 2000\na expect MOVE\na expect-end\na close\nwait 1500\nstopped");
+  CHECK_FALSE(Relayed().Ready());
+}
+
+TEST_CASE_METHOD(Alone, "figures count by class where each thing happens") {
+  const auto& watch = [this] { return Counts().classes.at(0); };
+  Play(kStand);
+  CHECK(watch().succeeded == 1);
+  CHECK(watch().forwards == 1);
+  CHECK(Relayed().Outstanding() == 1);
+  CHECK(Relayed().Discovered() == 1);
+  Play("b send OPEN 1 k2 c=watch,d=2000\nb expect ERR\nb expect-end");  // An id that is open.
+  CHECK(watch().aborted == 1);
+  Play("s-1 load 0.99\nwait 1000\nc send OPEN 3 k c=watch,d=2000\nc expect BUSY *\nc expect-end");
+  CHECK(watch().declined == 1);
+  CHECK(watch().forwards == 1);
+  Play("a send M 1 x\ns-1 expect M 1 x\ns-1 send BYE\ns-1 close\na expect BYE\na expect-end\nwait 10");
+  CHECK(Relayed().Outstanding() == 0);
+  CHECK(watch().succeeded == 1);
+}
+
+int ListeningSocket() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  REQUIRE(listen(fd, 16) == 0);
+  return fd;
+}
+
+int PortOf(int fd) {
+  sockaddr_in a{};
+  socklen_t size = sizeof a;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+  return ntohs(a.sin_port);
+}
+
+class Inheriting : public World {
+ public:
+  Inheriting() : World({"s-1"}, 0, 1, Held()) {}
+  ~Inheriting() { close(held_); }
+  static int Held() {  // The relay's copy.
+    const int fd = ListeningSocket();
+    held_ = dup(fd);
+    return fd;
+  }
+  inline static int held_ = -1;  // The platform's own copy.
+};
+
+TEST_CASE_METHOD(Inheriting, "a socket handed down is served, and its queue is left to the next process") {
+  CHECK(Relayed().Port() == PortOf(held_));
+  Play(kStand);
+  Play("drain\nwait 50");
+  // After the planned end began, a client that comes waits in the queue for whoever takes it next.
+  const int late = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(static_cast<std::uint16_t>(PortOf(held_)));
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(late, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+  Play("wait 50");
+  fcntl(held_, F_SETFL, O_NONBLOCK);
+  const int taken = accept(held_, nullptr, nullptr);
+  CHECK(taken >= 0);
+  close(taken);
+  close(late);
+  Play("wait 2500\na expect MOVE\na expect-end");
+}
+
+TEST_CASE("a descriptor that is no listening IPv4 TCP socket is refused with its number") {
+  Loop loop(Clock::Mode::kManual);
+  Counters counters;
+  struct Nobody : AcquirerEvents {
+    std::string_view Objection(const OpenHead& /*head*/) override { return {}; }
+    SlotId OnOpen(SlotId client, const OpenHead& /*head*/) override { return client; }
+    void OnClientBytes(SlotId /*owner*/) override {}
+    void OnClientEnd(SlotId /*owner*/, StreamEnd /*end*/) override {}
+    void OnClientRoom(SlotId /*owner*/) override {}
+  } nobody;
+  Acquirer acquirer(loop, nobody, counters, 256);
+  const int file = open("/dev/null", O_RDONLY);
+  const int unbound = socket(AF_INET, SOCK_STREAM, 0);
+  const int datagram = socket(AF_INET, SOCK_DGRAM, 0);
+  const auto refused = [&](int fd, const std::string& why) {
+    INFO(why);
+    REQUIRE_THROWS_AS(acquirer.Inherit(fd), ConfigError);
+    try {
+      acquirer.Inherit(fd);
+    } catch (const ConfigError& e) {
+      CHECK_THAT(e.what(), Catch::Contains("PROXY_ACCEPT_FD: descriptor " + std::to_string(fd) + " " + why));
+    }
+  };
+  refused(file, "is not a socket");
+  refused(unbound, "does not listen");
+  refused(datagram, "is not a TCP socket");
+  refused(987, "is not open");
+  CHECK_FALSE(acquirer.Inherited());
+  for (const int fd : {file, unbound, datagram}) close(fd);
+}
+
+TEST_CASE("PROXY_ACCEPT_FD and PROXY_MANAGEMENT are read, and nonsense in them is an error that names them") {
+  char path[] = "/tmp/stoatrun-config-XXXXXX";
+  const int fd = mkstemp(path);
+  const std::string text =
+      R"({"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","management":"127.0.0.1:3","seed":"7",
+          "settings":{"classes":[{"name":"watch","effect":"idempotent","target":500000}]}})";
+  REQUIRE(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+  close(fd);
+  setenv("PROXY_CONFIG", path, 1);
+  Config c = LoadConfig(LoadAt::kStart);
+  CHECK(c.management_text == "127.0.0.1:3");
+  CHECK_FALSE(c.accept_fd);
+  setenv("PROXY_MANAGEMENT", "127.0.0.1:9", 1);
+  setenv("PROXY_ACCEPT_FD", "4", 1);
+  c = LoadConfig(LoadAt::kStart);
+  CHECK(c.management_text == "127.0.0.1:9");
+  CHECK(c.accept_fd == 4);
+  setenv("PROXY_ACCEPT_FD", "four", 1);
+  CHECK_THROWS_WITH(LoadConfig(LoadAt::kStart),
+                    Catch::Contains("PROXY_ACCEPT_FD") && Catch::Contains("'four'"));
+  setenv("PROXY_ACCEPT_FD", "4", 1);
+  setenv("PROXY_MANAGEMENT", "somewhere", 1);
+  CHECK_THROWS_WITH(LoadConfig(LoadAt::kStart),
+                    Catch::Contains("management") && Catch::Contains("somewhere"));
+  for (const char* name : {"PROXY_CONFIG", "PROXY_MANAGEMENT", "PROXY_ACCEPT_FD"}) unsetenv(name);
+  unlink(path);
+}
+
+}  // namespace
+}  // namespace stoatrun
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -81,8 +81,8 @@
   s.port = ntohs(a.sin_port);
 }
 
-World::World(const std::vector<std::string>& hosts, int descriptors, int relays)
-    : descriptors_(descriptors), relays_(relays) {
+World::World(const std::vector<std::string>& hosts, int descriptors, int relays, int accept_fd)
+    : descriptors_(descriptors), relays_(relays), accept_fd_(accept_fd) {
   SetLogLevel(Level::kError);
   for (const char* name : {"discovery", "discovery2"}) Listen(discoveries_[name]);
   for (const std::string& id : hosts) Listen(hosts_[id]);
@@ -97,11 +97,13 @@
                R"(","host_port":"127.0.0.1:)" + std::to_string(host.port) +
                R"(","locality":"z","phase":"ready","later_field":[1]})";
   }
-  return ParseConfig(
+  Config config = ParseConfig(
       R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery.port) +
       R"(","limits":{"sockets":)" + std::to_string(descriptors_) +
       R"(},"seed":"7","known":{"revision":1,"complete":true,"members":[)" + members +
       R"(]},"settings":{"balancers":)" + std::to_string(relays_) + std::string(kSettings) + "}");
+  if (accept_fd_ >= 0) config.accept_fd = accept_fd_;
+  return config;
 }
 
 World::~World() {
@@ -235,6 +237,12 @@
     CHECK(there == std::stoi(verb));
   } else if (who == "drain") {
     relay_->Drain();
+  } else if (who == "drain-call") {
+    relay_->DrainByCall();
+    for (int k = 0; k < 3; ++k) Turn();
+  } else if (who == "activate") {
+    relay_->Activate();
+    for (int k = 0; k < 3; ++k) Turn();
   } else if (who == "exhaust") {  // No descriptor is left when the client's connection is to be taken.
     PeerOf(verb, step);
     std::vector<int> taken;
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -17,7 +17,8 @@
 //   discovery raw TEXT    a part of a line
 //   discovery watches N | asked TEXT | expect-end   of the watches held there; likewise for discovery2
 //   reload discovery2     takes up a configuration that names it
-//   wait MS | drain | stopped
+//   wait MS | drain | stopped           drain: SIGTERM's planned end
+//   drain-call | activate               the operators' calls at the second address
 // clang-format on
 #ifndef STOATRUN_TESTS_NET_WORLD_H_
 #define STOATRUN_TESTS_NET_WORLD_H_
@@ -38,13 +39,16 @@
  public:
   // `descriptors`: what the relay is told that it may hold; 0: not told. `relays`: of its fleet, itself
   // included.
-  explicit World(const std::vector<std::string>& hosts, int descriptors = 0, int relays = 1);
+  // `accept_fd`: a listening socket that the relay is handed, as the platform hands one down; -1: it binds.
+  explicit World(const std::vector<std::string>& hosts, int descriptors = 0, int relays = 1,
+                 int accept_fd = -1);
   ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
   void Play(std::string_view script);  // Fails the test at the first step that does not hold.
   const Counters& Counts() const { return relay_->Counts(); }
+  const Relay& Relayed() const { return *relay_; }
 
  private:
   struct Peer {  // One socket of the toy side.
@@ -67,7 +71,7 @@
   void Turn();
   void Serve(Server& host);
   void ServeDiscovery(Server& discovery);
-  int descriptors_, relays_;
+  int descriptors_, relays_, accept_fd_;
   Config ConfigWith(const Server& discovery) const;  // Which is all that a reload changes.
   Peer& PeerOf(const std::string& who, const std::string& step);
   void Expect(Peer& peer, const std::string& text, const std::string& step);
