A replaced process moves its clients evenly from SIGTERM on, not in its last 1.6 s

Change: with a handed-down socket the moves begin at SIGTERM and spread evenly in time up to 0.4 s before the end (drain::EvenShare carries the part of a move owed from step to step, so few clients do not all go at the first steps). The operators' drain paces its moves the same way. Without a handed-down socket the planned end is as before: there the next relay may not be up yet.

--- a/src/drain/plan.cpp
+++ b/src/drain/plan.cpp
@@ -8,19 +8,30 @@
   if (draining_) return;
   draining_ = true;
   since_ = now;
+  carry_ = 0;
 }
 
 void Plan::Activate() { draining_ = false; }
 
-Step Plan::At(Micros now, std::size_t standing) const {
+Step Plan::At(Micros now, std::size_t standing) {
   if (!draining_) return {};
   const Micros begin = since_ + pace_.hold;
   if (now < begin) return {0, begin};
   const Micros end = begin + pace_.spread;
   if (now >= end) return {standing, now + pace_.step};
-  // An even share of what is left each step, the last of them at `end`.
-  const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, (end - now) / pace_.step));
-  return {(standing + steps - 1) / steps, now + pace_.step};
+  return {EvenShare(standing, end - now, pace_.step, carry_), now + pace_.step};
+}
+
+std::size_t EvenShare(std::size_t count, Micros left, Micros step, double& carry) {
+  if (left <= step) {
+    carry = 0;
+    return count;
+  }
+  const double steps = static_cast<double>(left.count()) / static_cast<double>(step.count());
+  carry += static_cast<double>(count) / steps;
+  const auto now = std::min(count, static_cast<std::size_t>(carry));
+  carry -= static_cast<double>(now);
+  return now;
 }
 
 }  // namespace stoatrun::drain
--- a/src/drain/plan.h
+++ b/src/drain/plan.h
@@ -26,6 +26,10 @@
   Micros next{0};         // When to step again; 0: not while serving.
 };
 
+// Of `count` still to go in `left` by steps of `step`, how many go now, so that they go evenly in time:
+// `carry` keeps the part of one that is owed from step to step. What is left at the last step goes whole.
+std::size_t EvenShare(std::size_t count, Micros left, Micros step, double& carry);
+
 class Plan {
  public:
   explicit Plan(const Pace& pace = {}) : pace_(pace) {}
@@ -37,13 +41,14 @@
   bool Draining() const { return draining_; }
   // What the front and the readiness check are told.
   bool SaysYes() const { return !draining_; }
-  // Of `standing` connections held at `now`.
-  Step At(Micros now, std::size_t standing) const;
+  // Of `standing` connections held at `now`; called once a step.
+  Step At(Micros now, std::size_t standing);
 
  private:
   Pace pace_;
   bool draining_ = false;
   Micros since_{0};
+  double carry_ = 0;
 };
 
 }  // namespace stoatrun::drain
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -586,9 +586,13 @@
     if (a.state == Authorisation::State::kPending) pending.push_back(a.id);
   });
   const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
-  // An even share of what is left a step, all by the time.
   const Micros left = end - kMovedBefore - loop_.Now();
-  if (left <= kMoveFor) {
+  if (acquirer_.Inherited()) {
+    // The next process serves already: moved clients find it at once, and go from the start, evenly in time,
+    // so that it learns of the hosts from the first of them before the rest come.
+    standing.resize(drain::EvenShare(standing.size(), left, kMoveStep, move_carry_));
+    for (const SlotId id : standing) Move(id);
+  } else if (left <= kMoveFor) {  // An even share of what is left a step, all by the time.
     const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
     standing.resize((standing.size() + steps - 1) / steps);
     for (const SlotId id : standing) Move(id);
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -148,6 +148,7 @@
   enum class Phase { kServing, kTaking, kMoving };
   Phase phase_ = Phase::kServing;
   Micros drain_at_{0};
+  double move_carry_ = 0;  // Of moves owed, for an even pace.
   Deadline drain_;
   bool started_ = false;
   drain::Plan plan_;  // The operators' drain, which is not the end of the process.
--- a/tests/net/operators_test.cpp
+++ b/tests/net/operators_test.cpp
@@ -147,6 +147,24 @@
   Play("wait 2500\na expect MOVE\na expect-end");
 }
 
+// The next process serves already: those moved late would only crowd it later, and all at once.
+TEST_CASE_METHOD(Inheriting, "with a socket handed down a planned end moves clients from its start, evenly") {
+  Play(kStand);
+  Play(R"(
+    b send OPEN 2 k c=watch,d=2000
+    s-1#2 expect OPEN 2 k*
+    s-1#2 send UP r2
+    b expect UP r2
+    drain
+    wait 100
+  )");
+  CHECK(Counts().moved == 0);
+  Play("wait 900");  // Two over 2.1 s: one by the middle.
+  CHECK(Counts().moved == 1);
+  Play("wait 1150");
+  CHECK(Counts().moved == 2);
+}
+
 TEST_CASE("a descriptor that is no listening IPv4 TCP socket is refused with its number") {
   Loop loop(Clock::Mode::kManual);
   Counters counters;
--- a/tests/ops/management_test.cpp
+++ b/tests/ops/management_test.cpp
@@ -83,6 +83,17 @@
   CHECK(standing == 0);
   CHECK(steps == 44);
   CHECK(plan.At(Micros(3'600'000), 5).moves == 5);
+  // Few connections go evenly in time too, not all at the first steps.
+  drain::Plan few;
+  few.Drain(Micros(0));
+  std::vector<std::int64_t> at;
+  for (Micros t(400'000); t < Micros(2'600'000); t += Micros(50'000)) {
+    if (few.At(t, 4 - at.size()).moves > 0) at.push_back(t.count());
+  }
+  REQUIRE(at.size() == 4);
+  CHECK(at.front() >= 700'000);  // A quarter of the 2.2 s after the hold, less a step or two.
+  for (std::size_t k = 1; k < at.size(); ++k) CHECK(at[k] - at[k - 1] >= 400'000);
+  CHECK(at.back() < 2'600'000);
   plan.Activate();
   CHECK(plan.SaysYes());
   CHECK(plan.At(Micros(3'700'000), 5).moves == 0);
