--- a/src/ops/management.h
+++ b/src/ops/management.h
@@ -43,8 +43,8 @@
   static constexpr Micros kHeadWait = std::chrono::milliseconds(1500);
   // So many callers at once; the next one makes the oldest unfinished one go.
   static constexpr std::size_t kMostCallers = 16;
-  static constexpr std::size_t kMostHead = 8 * 1024;
-  static constexpr std::size_t kMostBody = 16 * 1024;
+  static constexpr std::size_t kMostHead = std::size_t{8} * 1024;
+  static constexpr std::size_t kMostBody = std::size_t{16} * 1024;
 
   Management(Loop& loop, ManagementEvents& events);
   ~Management() override;
