Drains move the quietest clients first: just answered, nothing under way

Need: every drain (the operators' and SIGTERM's) must move all standing clients, and each move costs the client its way back. Clients send a line every 2 s and wait for its answer; one moved with a line under way loses that answer, one moved just after its answer has the most time to be back elsewhere before its next line.

Change: the relay notes when the host's last answer reached each client (or the leg came up); drain::Quietest, pure, picks whom to move at each step: no line under way first, the latest answered first among them. The pace (how many a step) is as before.

Tests: Quietest's order alone; a relay with a handed-down socket moves the client it has just answered before the one whose line is under way (fails with the slot order of before).

--- a/src/drain/plan.cpp
+++ b/src/drain/plan.cpp
@@ -34,4 +34,18 @@
   return now;
 }
 
+std::vector<std::uint64_t> Quietest(std::vector<Standing> all, std::size_t n) {
+  n = std::min(n, all.size());
+  std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
+                    [](const Standing& a, const Standing& b) {
+                      if (a.asking != b.asking) return b.asking;
+                      if (a.answered_at != b.answered_at) return a.answered_at > b.answered_at;
+                      return a.id < b.id;
+                    });
+  std::vector<std::uint64_t> chosen;
+  chosen.reserve(n);
+  for (std::size_t k = 0; k < n; ++k) chosen.push_back(all[k].id);
+  return chosen;
+}
+
 }  // namespace stoatrun::drain
--- a/src/drain/plan.h
+++ b/src/drain/plan.h
@@ -10,6 +10,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <vector>
 
 namespace stoatrun::drain {
 
@@ -30,6 +32,18 @@
 // `carry` keeps the part of one that is owed from step to step. What is left at the last step goes whole.
 std::size_t EvenShare(std::size_t count, Micros left, Micros step, double& carry);
 
+// A standing connection as the choice of whom to move sees it.
+struct Standing {
+  std::uint64_t id = 0;
+  bool asking = false;    // A client's line is on its way and its answer not yet back.
+  Micros answered_at{0};  // When the host's last answer reached the client, or the connection came up.
+};
+
+// The `n` to move now. Clients send a line every so often and wait for its answer: one that has just had its
+// answer is furthest from its next line, so it can come back elsewhere before that line is due. Those with a
+// line under way go last.
+std::vector<std::uint64_t> Quietest(std::vector<Standing> all, std::size_t n);
+
 class Plan {
  public:
   explicit Plan(const Pace& pace = {}) : pace_(pace) {}
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -120,17 +120,26 @@
 }
 
 void Relay::PlanStep() {
-  std::vector<SlotId> standing;
+  std::size_t standing = 0;
   authorisations_.ForEach([&](const Authorisation& a) {
-    if (a.state == Authorisation::State::kStanding) standing.push_back(a.id);
+    if (a.state == Authorisation::State::kStanding) ++standing;
   });
-  const drain::Step step = plan_.At(loop_.Now(), standing.size());
-  standing.resize(std::min(standing.size(), step.moves));
-  counters_.drain_moves += standing.size();
-  for (const SlotId id : standing) Move(id);
+  const drain::Step step = plan_.At(loop_.Now(), standing);
+  counters_.drain_moves += std::min(standing, step.moves);
+  MoveQuietest(step.moves);
   if (step.next.count() > 0) plan_step_.Set(step.next);
 }
 
+void Relay::MoveQuietest(std::size_t n) {
+  if (n == 0) return;
+  std::vector<drain::Standing> all;
+  authorisations_.ForEach([&](const Authorisation& a) {
+    if (a.state == Authorisation::State::kStanding)
+      all.push_back({a.id.Packed(), a.asked_at.count() > 0, a.answered_at});
+  });
+  for (const std::uint64_t id : drain::Quietest(std::move(all), n)) Move(SlotId::Unpack(id));
+}
+
 void Relay::Reload(const Config& config) {
   ++counters_.reloads;
   LogLine(Level::kInfo, "reload").Field("discovery", config.discovery_text);
@@ -336,6 +345,7 @@
   if (a->opening.class_index < counters_.classes.size())
     ++counters_.classes[a->opening.class_index].succeeded;
   a->state = Authorisation::State::kStanding;
+  a->answered_at = loop_.Now();
   a->deadline.Cancel();
   if (meter_ != nullptr) a->use = meter_->Begin(a->group, a->opening.class_index);
   acquirer_.Up(a->client, line);
@@ -507,6 +517,7 @@
                                  : LegEnd::kBroken;
   if (a.asked_at.count() == 0 || a.last_word != LegEnd::kBroken) return;
   const Micros delay = loop_.Now() - std::exchange(a.asked_at, Micros(0));
+  a.answered_at = loop_.Now();
   if (a.state == Authorisation::State::kStanding) a.deadline.Cancel();
   NoteDelay(a.host, delay);
 }
@@ -580,9 +591,10 @@
     acquirer_.StopListening();
     phase_ = Phase::kMoving;
   }
-  std::vector<SlotId> standing, pending;
+  std::size_t standing = 0;
+  std::vector<SlotId> pending;
   authorisations_.ForEach([&](const Authorisation& a) {
-    if (a.state == Authorisation::State::kStanding) standing.push_back(a.id);
+    if (a.state == Authorisation::State::kStanding) ++standing;
     if (a.state == Authorisation::State::kPending) pending.push_back(a.id);
   });
   const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
@@ -590,12 +602,10 @@
   if (acquirer_.Inherited()) {
     // The next process serves already: moved clients find it at once, and go from the start, evenly in time,
     // so that it learns of the hosts from the first of them before the rest come.
-    standing.resize(drain::EvenShare(standing.size(), left, kMoveStep, move_carry_));
-    for (const SlotId id : standing) Move(id);
+    MoveQuietest(drain::EvenShare(standing, left, kMoveStep, move_carry_));
   } else if (left <= kMoveFor) {  // An even share of what is left a step, all by the time.
     const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
-    standing.resize((standing.size() + steps - 1) / steps);
-    for (const SlotId id : standing) Move(id);
+    MoveQuietest((standing + steps - 1) / steps);
   }
   const bool over = loop_.Now() >= end;
   if (over) {  // What is unanswered now would be lost with the process.
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -64,7 +64,8 @@
     std::string resume_at;                     // The host that holds the connection already.
     Micros resume_until{0};
     std::uint32_t legs = 0;
-    Micros asked_at{0};  // When the oldest client line without an answer went on; 0: none.
+    Micros asked_at{0};     // When the oldest client line without an answer went on; 0: none.
+    Micros answered_at{0};  // When the host's last answer went to the client, or the leg came up.
     LegEnd last_word = LegEnd::kBroken;
     std::string_view group;  // Of the client's line, as `before_wait`.
     ledger::Ticket use;
@@ -125,6 +126,8 @@
   void Due(SlotId owner);
   void DrainStep();
   void PlanStep();
+  // Moves `n` of the standing connections, the quietest first.
+  void MoveQuietest(std::size_t n);
   std::size_t ClassIndex(std::string_view name) const;
 
   Loop& loop_;
--- a/tests/net/operators_test.cpp
+++ b/tests/net/operators_test.cpp
@@ -165,6 +165,31 @@
   CHECK(Counts().moved == 2);
 }
 
+// A client that has just had its answer is furthest from its next line: it can be back elsewhere before then.
+TEST_CASE_METHOD(Inheriting,
+                 "a planned end moves first whom it has just answered, last whose line is under way") {
+  Play(kStand);
+  Play(R"(
+    b send OPEN 2 k c=watch,d=2000
+    s-1#2 expect OPEN 2 k*
+    s-1#2 send UP r2
+    b expect UP r2
+    wait 100
+    a send M 1 x
+    s-1 expect M 1 x
+    b send M 2 x
+    s-1#2 expect M 2 x
+    s-1#2 send M 2 y
+    b expect M 2 y
+    drain
+    wait 1100
+    b expect MOVE
+    b expect-end
+  )");
+  CHECK(Counts().moved == 1);
+  Play("s-1 send M 1 y\na expect M 1 y\nwait 1000\na expect MOVE");
+}
+
 TEST_CASE("a descriptor that is no listening IPv4 TCP socket is refused with its number") {
   Loop loop(Clock::Mode::kManual);
   Counters counters;
--- a/tests/ops/management_test.cpp
+++ b/tests/ops/management_test.cpp
@@ -99,6 +99,21 @@
   CHECK(plan.At(Micros(3'700'000), 5).moves == 0);
 }
 
+TEST_CASE("whom a drain moves first: the latest answered without a line under way, then the others") {
+  using drain::Micros;
+  const std::vector<drain::Standing> all{
+      {.id = 1, .asking = true, .answered_at = Micros(900)},
+      {.id = 2, .asking = false, .answered_at = Micros(100)},
+      {.id = 3, .asking = false, .answered_at = Micros(700)},
+      {.id = 4, .asking = true, .answered_at = Micros(50)},
+      {.id = 5, .asking = false, .answered_at = Micros(700)},
+  };
+  CHECK(drain::Quietest(all, 0).empty());
+  CHECK(drain::Quietest(all, 2) == std::vector<std::uint64_t>{3, 5});
+  CHECK(drain::Quietest(all, 4) == std::vector<std::uint64_t>{3, 5, 2, 1});
+  CHECK(drain::Quietest(all, 9).size() == 5);
+}
+
 class Calls : public ManagementEvents {
  public:
   ManagementAnswer OnCall(ManagementCall call) override {
