--- a/tests/cli_program.sh
+++ b/tests/cli_program.sh
@@ -19,6 +19,12 @@
 expect 2 "$relay" run --operator
 expect 2 env -u PROXY_CONFIG "$relay"; says 'PROXY_CONFIG: not set'
 expect 0 env PROXY_CONFIG="$config" "$relay" check --operator "$shipped"; says 'level: INFO'; says 'listen: 127.0.0.1:8000'
+says 'management: none'
+expect 0 env PROXY_CONFIG="$config" PROXY_MANAGEMENT=127.0.0.1:9 PROXY_ACCEPT_FD=4 "$relay" check
+says 'management: 127.0.0.1:9'; says 'handed down as descriptor 4'
+# A handed-down descriptor that is no listening socket ends the start with its name, not a crash.
+expect 2 env PROXY_CONFIG="$config" PROXY_ACCEPT_FD=7 "$relay" run 7</dev/null; says 'PROXY_ACCEPT_FD: descriptor 7 is not a socket'
+expect 2 env PROXY_CONFIG="$config" PROXY_ACCEPT_FD=x "$relay" run; says "PROXY_ACCEPT_FD: expected the number of a descriptor, got 'x'"
 printf 'log {\n  level: DEBUG\n  colour: 1\n}\n' >cli_operator.txtpb
 expect 2 env PROXY_CONFIG="$config" STOATRUN_OPERATOR=cli_operator.txtpb "$relay" check; says 'cli_operator.txtpb:3:9: .*colour'
 expect 2 env PROXY_CONFIG="$config" "$relay" --operator /nonexistent run; says '/nonexistent: No such file'
