Without load reports many relays send a group to one home, and heed no own counts

Ruled out: discovery (no failed watch), attempts (1.02 a try before the cuts), time-outs (0).

Cause: Grouped() follows groups only where relays are no more than servers, as views equally old herd them. Without reports there are no views: placement was at random over 85 servers, each came to hold some of nearly every group, and each group held costs three connections. Besides, Sample() took the count of own connections against their mean for load: with 13 connections over 85 servers two on one are 'sick' and get moved, and what DelayTold said was never unsaid where no count followed.

Lines: decide.cpp Grouped(), ByTable() and Sample(). Where a gateway is blind (reports off, relays more than servers) groups follow their home, the home is not lost among eight looks of ByTable(), counts are not read, and a figure of late messages is dropped after the sampling interval.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -471,10 +471,7 @@
   }
 
   void SeekLanding(Request& r) {
-    if (MayRefuse(r) && ((now_ < full_until_ && OpenCold(r) == kNone) || Overrun())) {
-      Answer(r);
-      return;
-    }
+    if (MayRefuse(r) && ((now_ < full_until_ && OpenCold(r) == kNone) || Overrun())) return Answer(r);
     r.home = Home(r);
     if (CanProbe() && !eligible_.empty()) {
       const auto fresh = std::count_if(pool_.begin(), pool_.end(), [&](auto& a) { return Usable(r, a); });
@@ -511,8 +508,10 @@
       const double charge = s.has_figure && s.figure > kAdmit ? least : 1.0;
       const Micros interval = charge < 1 ? kHotInterval : s.has_figure ? kSampleInterval : kBlankInterval;
       const bool due = s.figure_at.count() == 0 || now_ >= s.figure_at + interval;
-      if (s.held.empty() || !due || sample_allowance_ < charge) continue;
-      if (set_.reports == ReportMode::kOff) {
+      if ((s.held.empty() && !Blind()) || !due || sample_allowance_ < charge) continue;
+      if (Blind()) {
+        DropFigure(s);  // Of late messages: nothing else would ever end what it says.
+      } else if (set_.reports == ReportMode::kOff) {
         TakeFigure(i, *FigureOf(i, std::nullopt));
       } else if (Probe(i)) {
         s.sampled = true;
@@ -592,9 +591,14 @@
            !Contains(r.tried, a.server) && MaySend(r, a.server);
   }
 
+  // One of more gateways than there are servers, without reports: the few connections that it holds itself
+  // tell nothing of how full a server is.
+  bool Blind() const { return set_.reports == ReportMode::kOff && set_.gateways > eligible_.size(); }
   // One of more gateways than there are servers holds too little of a group to know where it stands, and all
-  // would send it to one server by views equally old.
-  bool Grouped(const Request& r) const { return r.info.group != 0 && set_.gateways <= eligible_.size(); }
+  // would send it to one server by views equally old. The blind have no views, and nothing else to go by.
+  bool Grouped(const Request& r) const {
+    return r.info.group != 0 && (set_.gateways <= eligible_.size() || Blind());
+  }
 
   double Cost(const Request& r, int i) const {
     const Server& s = servers_[i];
@@ -643,6 +647,7 @@
   }
 
   int ByTable(const Request& r) {
+    if (Blind() && r.home != kNone && !Contains(r.tried, r.home) && MaySend(r, r.home)) return r.home;
     Cheapest best;
     const std::size_t start = random_.Below(eligible_.size());
     for (std::size_t k = 0; k < eligible_.size() && (k < kTableLooks || best.index == kNone); ++k) {
@@ -654,9 +659,7 @@
     return best.cost < kLastResort || now_ >= r.decide_by ? best.index : kNone;
   }
 
-  static bool Contains(const std::vector<int>& v, int i) {
-    return std::find(v.begin(), v.end(), i) != v.end();
-  }
+  static bool Contains(const std::vector<int>& v, int i) { return std::count(v.begin(), v.end(), i) > 0; }
 
   // ---- 8 cold starts ----
 
@@ -782,10 +785,7 @@
 
   void Wait(Request& r, Micros until) {
     r.decide_by = until;
-    if (!r.waiting) {
-      r.waiting = true;
-      waiting_.push_back(r.info.id);
-    }
+    if (!std::exchange(r.waiting, true)) waiting_.push_back(r.info.id);
     Schedule(until, Task::kRequest, r.info.id);
   }
   void Unwait(Request& r) {
@@ -871,19 +871,13 @@
                        e.outcome == Outcome::kCut || (!stood && e.outcome == Outcome::kError))) {
       NoteFailure(i, true);
     }
-    if (e.request_finished || r->finished) {
-      Close(*r);
-      return;
-    }
+    if (e.request_finished || r->finished) return Close(*r);
     if (!never_ran && !r->may_have_run) {
       r->may_have_run = true;
       r->ran_at = r->server;
       r->ran_from = r->sent_at;
     }
-    if (e.outcome == Outcome::kNotSent || !MayAttempt(*r) || !MayRepeat(*r)) {
-      Answer(*r);
-      return;
-    }
+    if (e.outcome == Outcome::kNotSent || !MayAttempt(*r) || !MayRepeat(*r)) return Answer(*r);
     SeekLanding(*r);
   }
 
--- a/tests/deployment_test.cpp
+++ b/tests/deployment_test.cpp
@@ -77,6 +77,45 @@
   EXPECT_EQ(used.size(), 4U);
 }
 
+Settings BlindSettings(std::uint64_t seed) {
+  Settings s = PlainSettings();
+  s.seed = seed;
+  s.gateways = 300;
+  s.reports = ReportMode::kOff;
+  s.probes_allowed = false;
+  return s;
+}
+
+// A site without load reports, 300 relays and groups that cost three connections each lost half its service:
+// every server held some of nearly every group, and asked for three times what its connections did.
+TEST(Groups, WithoutReportsManyGatewaysSendAGroupToOneHome) {
+  for (std::uint64_t group = 1; group <= 20; ++group) {
+    std::set<std::uint64_t> homes;
+    for (std::uint64_t gateway = 1; gateway <= 5; ++gateway) {
+      Harness h(BlindSettings(gateway));
+      h.List({Named(1, 11), Named(2, 12), Named(3, 13), Named(4, 14)});
+      for (std::uint64_t k = 1; k <= 3; ++k) homes.insert(static_cast<std::uint64_t>(Place(h, k, group, {})));
+    }
+    EXPECT_EQ(homes.size(), 1U) << group;
+  }
+}
+
+// Their own counts made a server with two of their connections look full, for its clients to be moved or
+// declined; and what late messages told was never unsaid.
+TEST(Groups, WithoutReportsManyGatewaysHeedLateMessagesForAWhileAndNoCounts) {
+  Harness h(BlindSettings(1));
+  h.List({Named(1, 11), Named(2, 12), Named(3, 13), Named(4, 14)});
+  const ServerId home = Place(h, 1, 77, {});
+  for (std::uint64_t k = 2; k <= 6; ++k) EXPECT_EQ(Place(h, k, 77, {}), home);
+  EXPECT_TRUE(Of<MoveClient>(h.Pass(Ms(5000))).empty());
+  h.Give(DelayTold{home, Ms(500)});
+  EXPECT_NE(Place(h, 7, 77, {}), home);
+  for (std::uint64_t k = 1; k <= 6; ++k) h.Give(AttemptEnded{Rq(k), home, Outcome::kServed, true, {}});
+  h.Give(AttemptEnded{Rq(7), Sv(1), Outcome::kServed, true, {}});
+  h.Pass(Ms(8000));
+  EXPECT_EQ(Place(h, 8, 77, {}), home);
+}
+
 TEST(Groups, AGroupThatIsGoneFromAServerIsNoReasonToGoThere) {
   Harness h;
   h.List({Named(1, 11), Named(2, 12), Named(3, 13), Named(4, 14)});
