A request whose client left is never sent on; breaks are seen while reading is held back

A connection that came up in the turn in which the client's end lay unread got the first line. A peer's reset was not seen while its reading was held back for the other side's sake.

Lines: Stream::Watch() stopped the watcher where nothing was to be read or written; Issuer::OnConnected() wrote without a look at the client. Now such a descriptor is looked at each 100 ms (poll for POLLRDHUP and POLLERR), and the client once more right before an attempt's first byte. An attempt that comes up with the end of its time sends nothing.

Two more, found on the way: a first line whose writing failed at once was counted as sent (OnConnected() asked for the queue alone), so a class that may not run twice was not tried again; and a look at a host on a kept connection that the host closed at that moment counted as a failed look: it is taken on a new connection.

A close of what is thrown away reads the rest first: unread bytes make it a reset, which may overtake the answer.

Ruled out: a reset after the last byte was told rightly.

--- a/src/base/stream.cpp
+++ b/src/base/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,11 +12,22 @@
 #include <charconv>
 #include <cstdint>
 #include <cstring>
+#include <utility>
 
 namespace stoatrun {
 namespace {
 
 constexpr std::size_t kDropSize = std::size_t{128} * 1024;
+// At a close: more than a socket's buffer holds comes from a peer that never stops.
+constexpr int kDropsAtClose = 64;
+// A request must not be sent on 0.3 s after its client has left.
+constexpr Micros kLookEvery = std::chrono::milliseconds(100);
+
+// What is dropped goes here; the kernel copies nothing into it.
+ssize_t ReadAway(int fd) {
+  static std::array<char, kDropSize> dropped;
+  return recv(fd, dropped.data(), dropped.size(), MSG_TRUNC);
+}
 
 }  // namespace
 
@@ -34,8 +46,8 @@
   return address;
 }
 
-Stream::Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id)
-    : loop_(loop), handler_(handler), id_(id) {
+Stream::Stream(Loop& loop, StreamHandler& handler, SlotId id)
+    : loop_(loop), handler_(handler), id_(id), look_(loop.deadlines, [this] { Look(); }) {
   ev_init(&io_, OnIo);
   io_.data = this;
 }
@@ -78,7 +90,9 @@
 }
 
 void Stream::ReadNow() {
-  if (IsUp() && !broken_ && reading_ && !in_ended_) ReadSome();
+  if (!IsUp() || broken_ || in_ended_) return;
+  if (reading_ && size_ < kInSize) return ReadSome();
+  Look();
 }
 
 void Stream::SetReading(bool on) {
@@ -118,8 +132,11 @@
 
 void Stream::Close() {
   if (fd_ < 0) return;
-  ev_io_stop(loop_, &io_);
-  ev_clear_pending(loop_, &io_);
+  ev_io_stop(loop_.Raw(), &io_);
+  ev_clear_pending(loop_.Raw(), &io_);
+  look_.Cancel();
+  // A close over unread bytes is a reset, which may overtake what was written last.
+  for (int k = 0; dropping_ && !broken_ && k < kDropsAtClose && ReadAway(fd_) > 0;) ++k;
   close(fd_);
   fd_ = -1;
 }
@@ -128,14 +145,16 @@
   if (fd_ < 0) return;
   const linger hard{1, 0};
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  dropping_ = false;  // Its bytes may go unread.
   Close();
 }
 
 // Writes fail in the middle of what the relay does; the break is told from the loop, where a turn begins.
 void Stream::Break() {
   broken_ = true;
-  ev_io_stop(loop_, &io_);
-  ev_feed_event(loop_, &io_, EV_CUSTOM);
+  look_.Cancel();
+  ev_io_stop(loop_.Raw(), &io_);
+  ev_feed_event(loop_.Raw(), &io_, EV_CUSTOM);
 }
 
 void Stream::Watch() {
@@ -143,11 +162,35 @@
   const int wanted =
       connecting_ ? EV_WRITE
                   : (reading_ && !in_ended_ && size_ < kInSize ? EV_READ : 0) | (Queued() > 0 ? EV_WRITE : 0);
+  if (wanted != 0 || in_ended_) {
+    look_.Cancel();
+  } else if (!look_.IsSet()) {
+    look_.Set(loop_.Now() + kLookEvery);
+  }
   if (ev_is_active(&io_) && (io_.events & (EV_READ | EV_WRITE)) == wanted) return;
-  ev_io_stop(loop_, &io_);
+  ev_io_stop(loop_.Raw(), &io_);
   if (wanted == 0) return;
   ev_io_set(&io_, fd_, wanted);
-  ev_io_start(loop_, &io_);
+  ev_io_start(loop_.Raw(), &io_);
+}
+
+// The loop tells of a peer's end only to who reads or writes. A full buffer or a reading that is held back
+// does neither, and a client that sent much and left, or a peer that reset, would stand for as long as that
+// lasts.
+void Stream::Look() {
+  pollfd now{fd_, POLLRDHUP, 0};
+  const bool known = poll(&now, 1, 0) > 0;
+  if (known && (now.revents & POLLERR) != 0) {
+    broken_ = true;
+    look_.Cancel();
+    ev_io_stop(loop_.Raw(), &io_);
+    handler_.OnEnd(id_, StreamEnd::kReset);
+    return;
+  }
+  Watch();
+  if (known && (now.revents & (POLLRDHUP | POLLHUP)) != 0 && !std::exchange(leaving_, true)) {
+    handler_.OnLeaving(id_);
+  }
 }
 
 void Stream::OnIo(struct ev_loop* /*loop*/, ev_io* w, int events) {
@@ -183,10 +226,7 @@
 void Stream::ReadSome() {
   if (size_ == kInSize) return Watch();
   if (!in_ && !dropping_) in_ = std::make_unique<char[]>(kInSize);
-  // Of what is dropped the kernel copies nothing.
-  static std::array<char, kDropSize> dropped;
-  const ssize_t n = dropping_ ? recv(fd_, dropped.data(), dropped.size(), MSG_TRUNC)
-                              : read(fd_, in_.get() + size_, kInSize - size_);
+  const ssize_t n = dropping_ ? ReadAway(fd_) : read(fd_, in_.get() + size_, kInSize - size_);
   if (n > 0 && dropping_) {
     handler_.OnDropped(id_, static_cast<std::size_t>(n));
   } else if (n > 0) {
@@ -199,7 +239,8 @@
     handler_.OnEnd(id_, StreamEnd::kFinished);
   } else if (errno != EAGAIN && errno != EINTR) {
     broken_ = true;
-    ev_io_stop(loop_, &io_);
+    look_.Cancel();
+    ev_io_stop(loop_.Raw(), &io_);
     handler_.OnEnd(id_, StreamEnd::kReset);
   }
 }
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/deadlines.h"
 #include "base/slots.h"
 
 namespace stoatrun {
@@ -35,7 +36,9 @@
   virtual void OnBytes(SlotId id) = 0;
   virtual void OnDropped(SlotId /*id*/, std::size_t /*size*/) {}
   virtual void OnEnd(SlotId id, StreamEnd end) = 0;  // At most once a stream.
-  virtual void OnRoom(SlotId /*id*/) {}              // All that was queued is written.
+  // The peer has ended its sending, though what it sent before is not all read; OnEnd follows once it is.
+  virtual void OnLeaving(SlotId /*id*/) {}
+  virtual void OnRoom(SlotId /*id*/) {}  // All that was queued is written.
 };
 
 class Stream {
@@ -44,7 +47,7 @@
   static constexpr std::size_t kHighWater =
       std::size_t{64} * 1024;  // Queued output over this stops the other side's reading.
 
-  Stream(struct ev_loop* loop, StreamHandler& handler, SlotId id);
+  Stream(Loop& loop, StreamHandler& handler, SlotId id);
   ~Stream();
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
@@ -55,13 +58,15 @@
   bool IsOpen() const { return fd_ >= 0; }
   bool PeerEnded() const { return in_ended_; }
   bool IsUp() const { return IsOpen() && !connecting_; }
+  bool IsBroken() const { return broken_; }  // OnEnd tells of it, or is about to.
   // What was read and not consumed. It stays where it is until Consume, also when more comes.
   std::string_view In() const { return {in_.get(), size_}; }
   void Consume(std::size_t n);
   void SetReading(bool on);
   // What was read and what comes is thrown away; OnDropped tells how much came.
   void Drop();
-  void ReadNow();  // What the socket holds by now, before the loop tells of it.
+  // What the socket holds by now, before the loop tells of it: bytes and the peer's end.
+  void ReadNow();
   // A gathered write; what the socket does not take is queued. A break is told by OnEnd, later.
   void Write(std::initializer_list<std::string_view> pieces);
   std::size_t Queued() const { return out_.size() - out_begin_; }
@@ -76,14 +81,16 @@
   void Flush();
   void Break();
   void Watch();
+  void Look();
 
-  struct ev_loop* loop_;
+  Loop& loop_;
   StreamHandler& handler_;
   SlotId id_;
   ev_io io_{};
   int fd_ = -1;
   bool connecting_ = false, reading_ = true, in_ended_ = false, finish_ = false, finished_ = false,
-       broken_ = false, dropping_ = false;
+       broken_ = false, dropping_ = false, leaving_ = false;
+  Deadline look_;               // For the peer's end, while nothing is read or written that would tell of it.
   std::unique_ptr<char[]> in_;  // Taken at the first byte: those who say nothing cost none.
   std::size_t size_ = 0;
   std::string out_;
--- a/src/ledger/io/courier.h
+++ b/src/ledger/io/courier.h
@@ -47,7 +47,7 @@
 
  private:
   struct Call {
-    Call(SlotId slot, Courier& all) : id(slot), stream(all.loop_.Raw(), all, slot) {}
+    Call(SlotId slot, Courier& all) : id(slot), stream(all.loop_, all, slot) {}
     SlotId id;
     Stream stream;
   };
--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -355,6 +355,13 @@
   Erase(*c);
 }
 
+// A client that stands is owed a passing on of all it sent first; one that waits has left.
+void Acquirer::OnLeaving(SlotId id) {
+  Client* c = clients_.Find(id);
+  if (c == nullptr || c->state != Client::State::kOpened || c->head_size == 0) return;
+  events_.OnClientEnd(c->owner, StreamEnd::kFinished);
+}
+
 void Acquirer::OnRoom(SlotId id) {
   Client* c = clients_.Find(id);
   if (c != nullptr && c->state == Client::State::kOpened) events_.OnClientRoom(c->owner);
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -65,13 +65,14 @@
   void OnBytes(SlotId id) override;
   void OnDropped(SlotId id, std::size_t size) override;
   void OnEnd(SlotId id, StreamEnd end) override;
+  void OnLeaving(SlotId id) override;
   void OnRoom(SlotId id) override;
 
  private:
   struct Client {
     Client(SlotId slot, Acquirer& all)
         : id(slot),
-          stream(all.loop_.Raw(), all, slot),
+          stream(all.loop_, all, slot),
           deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
     enum class State { kHead, kOpened, kEnding };
     SlotId id, owner;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -47,7 +47,7 @@
 
  private:
   struct Call {
-    Call(SlotId slot, Discovery& all) : id(slot), stream(all.loop_.Raw(), all, slot) {}
+    Call(SlotId slot, Discovery& all) : id(slot), stream(all.loop_, all, slot) {}
     SlotId id;
     Stream stream;
   };
--- a/src/net/issuer.cpp
+++ b/src/net/issuer.cpp
@@ -117,6 +117,7 @@
   h.idle_probe = {};
   if (link != nullptr) {
     link->up = false;
+    link->reused = true;
     link->give_up = loop_.Now() + kProbeWait;
     link->deadline.Set(link->give_up);
     link->stream.Write({"STATS\r\n"});
@@ -194,6 +195,13 @@
 void Issuer::OnConnected(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
+  if (!l->probe) {
+    // In one turn with the end of its time, or with its client's: nothing of it has run, and nothing shall.
+    if (loop_.Now() >= l->give_up) return EndLeg(*l, LegEnd::kNotConnected, {});
+    events_.OnLegConnected(l->owner);
+    l = links_.Find(id);
+    if (l == nullptr) return;
+  }
   l->deadline.Set(l->give_up);
   if (l->probe) {
     l->stream.Write({"STATS\r\n"});
@@ -207,7 +215,7 @@
   } else {
     l->stream.Write({l->work.before_wait, "\r\n"});
   }
-  if (l->stream.Queued() == 0) Sent(*l);
+  if (l->stream.Queued() == 0 && !l->stream.IsBroken()) Sent(*l);
 }
 
 void Issuer::Sent(Link& link) {
@@ -269,7 +277,14 @@
 void Issuer::OnEnd(SlotId id, StreamEnd end) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
-  if (l->probe) {
+  if (l->probe && l->reused && !l->up && l->stream.In().empty() &&
+      hosts_[l->host].phase == HostPhase::kReady) {
+    // The host closed it while it was idle, just as it was to be used again: that says nothing of the host.
+    Link& fresh = links_.Add(*this, l->host, true);
+    fresh.give_up = l->give_up;
+    Close(id);
+    Start(fresh);
+  } else if (l->probe) {
     EndProbe(*l, false, {}, false);
   } else if (l->up) {
     events_.OnLegFinished(l->owner, end);
--- a/src/net/issuer.h
+++ b/src/net/issuer.h
@@ -47,6 +47,8 @@
   // A leg is named by the number its opener gave. `line` is what the host said, with its end; empty where it
   // said nothing.
   virtual void OnLegUp(SlotId owner, std::string_view line) = 0;
+  // The connection is up and nothing is sent yet: the last moment in which the opener may close the leg.
+  virtual void OnLegConnected(SlotId /*owner*/) {}
   // The first line's last byte is with the socket: the attempt counts at its host from here on.
   virtual void OnLegSent(SlotId /*owner*/) {}
   virtual void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) = 0;
@@ -99,7 +101,7 @@
         : id(slot),
           host(to),
           probe(is_probe),
-          stream(all.loop_.Raw(), all, slot),
+          stream(all.loop_, all, slot),
           deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
     SlotId id, owner;
     HostNumber host;
@@ -108,8 +110,12 @@
     Deadline deadline;
     LegWork work;
     Micros give_up{0};
-    bool sent = false;  // The first line's last byte is with the socket.
-    bool up = false;    // A leg after UP; a probe's connection while it is idle.
+    bool sent = false;  // The connection is up and nothing is sent yet: the last moment in which the opener
+                        // may close the leg.
+    virtual void OnLegConnected(SlotId /*owner*/) {}
+    // The first line's last byte is with the socket.
+    bool reused = false;  // A probe's connection that was idle before.
+    bool up = false;      // A leg after UP; a probe's connection while it is idle.
   };
 
   void Start(Link& link);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -424,6 +424,12 @@
   }
 }
 
+// A client's end may lie unread in the socket, with the leg's coming up in the same turn before it.
+void Relay::OnLegConnected(SlotId owner) {
+  const Authorisation* a = authorisations_.Find(owner);
+  if (Stream* client = a == nullptr ? nullptr : acquirer_.Find(a->client)) client->ReadNow();
+}
+
 void Relay::OnLegSent(SlotId owner) {
   const Authorisation* a = authorisations_.Find(owner);
   if (a != nullptr && a->opening.class_index < counters_.classes.size()) {
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -97,6 +97,7 @@
   void OnNoRoom(const OpenHead& head) override;
   // IssuerEvents
   void OnLegUp(SlotId owner, std::string_view line) override;
+  void OnLegConnected(SlotId owner) override;
   void OnLegSent(SlotId owner) override;
   void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) override;
   void OnLegBytes(SlotId owner) override;
--- a/src/ops/management.cpp
+++ b/src/ops/management.cpp
@@ -44,7 +44,7 @@
 Management::Caller::Caller(SlotId slot, Management& all)
     : id(slot),
       all(all),
-      stream(all.loop_.Raw(), all, slot),
+      stream(all.loop_, all, slot),
       deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {
   http_parser_init(&parser, HTTP_REQUEST);
   parser.data = this;
--- a/tests/net/fellows_test.cpp
+++ b/tests/net/fellows_test.cpp
@@ -1,63 +1,17 @@
 // What the relay asks and tells the rest of the fleet, in scenarios with a fleet that answers as it is told.
-#include "base/fellows.h"
-
 #include <catch2/catch.hpp>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "net/fleet_told.h"
 #include "net/world.h"
 
 namespace stoatrun {
 namespace {
 
-class Told : public Fellows {
- public:
-  Ticket Take(std::size_t /*class_index*/, std::string_view group) override {
-    ++taken;
-    groups.emplace_back(group);
-    return {0, true, 0};
-  }
-  void Finish(Ticket& ticket, End end) override {
-    CHECK(ticket.open);  // Each is finished once.
-    ticket.open = false;
-    ++ends[end];
-    held -= ticket.quota != 0 ? 1 : 0;
-  }
-  bool Hold(Ticket& ticket, std::string_view /*group*/) override {
-    if (held >= quota) return false;
-    ++held;
-    ticket.quota = 1;
-    return true;
-  }
-  std::vector<std::pair<std::uint32_t, std::size_t>> Excess() override {
-    if (held <= quota) return {};
-    return {{1, static_cast<std::size_t>(held - quota)}};
-  }
-  bool MayAttemptAgain() override { return attempts-- > 0; }
-  bool MayProbe() override { return probes-- > 0; }
-  bool MaySendCold(std::string_view /*host*/) override { return cold-- > 0; }
-  void OnSent(std::string_view host) override { ++sent[std::string(host)]; }
-  void OnSaw(std::string_view host, Saw saw) override { saws.emplace_back(host, saw); }
-  void OnListed(const std::vector<std::pair<std::string, std::int64_t>>& hosts) override {
-    listed = hosts.size();
-  }
-  std::vector<Advice> Advise(const std::vector<std::string>& /*cold*/) override {
-    return std::exchange(advice, {});
-  }
-
-  int taken = 0, held = 0, quota = 100, attempts = 100, probes = 1000, cold = 100;
-  std::size_t listed = 0;
-  std::vector<std::string> groups;
-  std::map<End, int> ends;
-  std::map<std::string, int> sent;
-  std::vector<std::pair<std::string, Saw>> saws;
-  std::vector<Advice> advice;
-};
-
 TEST_CASE("every connection is told to the fleet once, with its end") {
-  Told fleet;
+  FleetTold fleet;
   World world({"s-1"}, 0, 1, -1, "subscribe", &fleet);
   world.Play(R"(
     a send OPEN 1 k c=watch,t=wetland,d=2000
@@ -83,7 +37,7 @@
 }
 
 TEST_CASE("a connection beyond its group's quota is declined at once, with advice, and not sent on") {
-  Told fleet;
+  FleetTold fleet;
   fleet.quota = 1;
   World world({"s-1"}, 0, 1, -1, "subscribe", &fleet);
   world.Play(R"(
@@ -109,7 +63,7 @@
 }
 
 TEST_CASE("a further attempt that the fleet's budget does not allow ends in the final answer at once") {
-  Told fleet;
+  FleetTold fleet;
   fleet.attempts = 0;
   World world({"s-1", "s-2"}, 0, 1, -1, "subscribe", &fleet);
   world.Play(
@@ -119,7 +73,7 @@
 }
 
 TEST_CASE("a look that the fleet's budget does not allow tells the module nothing, and placement goes on") {
-  Told fleet;
+  FleetTold fleet;
   fleet.probes = 0;
   World world({"s-1"}, 0, 1, -1, "subscribe", &fleet);
   world.Play(R"(
@@ -133,7 +87,7 @@
 }
 
 TEST_CASE("hosts that the others found failing are left alone") {
-  Told fleet;
+  FleetTold fleet;
   World world({"s-1", "s-2"}, 0, 1, -1, "subscribe", &fleet);
   fleet.advice = {{"s-1", 0, -1, true}, {"s-unknown", 3, 3, true}};
   world.Play(R"(
