The planned end owes nobody: resting callers, the queue, late readers and the last pending

Seen, by tests on sockets (tests/net/endings_test.cpp), each failing on the commit before: - a connection that rests (after PING, with nothing, with a part of a line) was closed by the process's exit; a request in that moment found a reset. Lines: DrainStep() stopped with callers_ open, Asking() forgets them after 250 ms. Now they are told BUSY and ended in order from the signal on; who has sent a part of a line waits for its rest while others are pending or stand. - of 400 that waited in the queue when the taking ended, from the 65th on all were reset: StopListening() accepted one turn of 64 and closed. Likewise without a descriptor left (70 in the queue: from the 65th on). - pending requests were failed in the very step that stopped the loop: what their clients still sent made the exit a reset over the answer.

Ruled out: a thousand callers that send much and go, beside ten clients and those that stay, did not cost anyone an answer on the old lines either (MakeRoom(), TurnAway()); both read the rest before they close now, and the test stays. SIGTERM while the host hangs, with discovery down, in a reload, in the operators' drain and twice kept its times before and after; one test each.

The drain's times for moved clients are as before: only the part that ends resting callers runs from the signal on.

--- a/src/base/stream.cpp
+++ b/src/base/stream.cpp
@@ -18,13 +18,13 @@
 namespace {
 
 constexpr std::size_t kDropSize = std::size_t{128} * 1024;
-// At a close: more than a socket's buffer holds comes from a peer that never stops.
-constexpr int kDropsAtClose = 64;
+// More than a socket's buffer holds comes from a peer that never stops.
+constexpr int kMostDrops = 64;
 // A request must not be sent on 0.3 s after its client has left.
 constexpr Micros kLookEvery = std::chrono::milliseconds(100);
 
 // What is dropped goes here; the kernel copies nothing into it.
-ssize_t ReadAway(int fd) {
+ssize_t DropSome(int fd) {
   static std::array<char, kDropSize> dropped;
   return recv(fd, dropped.data(), dropped.size(), MSG_TRUNC);
 }
@@ -46,6 +46,10 @@
   return address;
 }
 
+void ReadAway(int fd) {
+  for (int k = 0; k < kMostDrops && DropSome(fd) > 0;) ++k;
+}
+
 Stream::Stream(Loop& loop, StreamHandler& handler, SlotId id)
     : loop_(loop), handler_(handler), id_(id), look_(loop.deadlines, [this] { Look(); }) {
   ev_init(&io_, OnIo);
@@ -135,8 +139,7 @@
   ev_io_stop(loop_.Raw(), &io_);
   ev_clear_pending(loop_.Raw(), &io_);
   look_.Cancel();
-  // A close over unread bytes is a reset, which may overtake what was written last.
-  for (int k = 0; dropping_ && !broken_ && k < kDropsAtClose && ReadAway(fd_) > 0;) ++k;
+  if (dropping_ && !broken_) ReadAway(fd_);
   close(fd_);
   fd_ = -1;
 }
@@ -226,7 +229,7 @@
 void Stream::ReadSome() {
   if (size_ == kInSize) return Watch();
   if (!in_ && !dropping_) in_ = std::make_unique<char[]>(kInSize);
-  const ssize_t n = dropping_ ? ReadAway(fd_) : read(fd_, in_.get() + size_, kInSize - size_);
+  const ssize_t n = dropping_ ? DropSome(fd_) : read(fd_, in_.get() + size_, kInSize - size_);
   if (n > 0 && dropping_) {
     handler_.OnDropped(id_, static_cast<std::size_t>(n));
   } else if (n > 0) {
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -41,6 +41,10 @@
   virtual void OnRoom(SlotId /*id*/) {}  // All that was queued is written.
 };
 
+// Reads what a socket holds and throws it away: a close over unread bytes is a reset, which may overtake what
+// was written last.
+void ReadAway(int fd);
+
 class Stream {
  public:
   static constexpr std::size_t kInSize = std::size_t{2} * 4096;  // Two lines of the longest form.
--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "base/log.h"
 #include "net/config.h"
@@ -20,8 +21,8 @@
 
 // A caller without a first line is owed an answer within 3 s of connecting.
 constexpr Micros kHeadWait = std::chrono::milliseconds(2000);
-// For the client's end after ours; longer while it still sends, for a close on unread bytes is a reset, which
-// may overtake the answer.
+// For the client's end after ours; longer while it still sends or has not read all, for a close on unread
+// bytes is a reset, which may overtake the answer.
 constexpr Micros kEndWait = std::chrono::milliseconds(800);
 constexpr Micros kDropWait = std::chrono::milliseconds(2400);
 constexpr std::size_t kDropMost = std::size_t{96} * 1024 * 1024;
@@ -110,7 +111,8 @@
 
 void Acquirer::StopListening() {
   if (fd_ < 0) return;
-  if (!inherited_) Accept();  // What already waits in the queue would be reset.
+  // Who already waits in the queue would be reset; it holds at most so many.
+  for (int left = inherited_ ? 0 : SOMAXCONN; left > 0 && Accept();) left -= kAcceptsATurn;
   ev_io_stop(loop_.Raw(), &accept_);
   close(fd_);
   fd_ = -1;
@@ -126,19 +128,19 @@
   static_cast<Acquirer*>(w->data)->Accept();
 }
 
-void Acquirer::Accept() {
+bool Acquirer::Accept() {
   for (int k = 0; k < kAcceptsATurn; ++k) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno == EAGAIN) return;
+      if (errno == EAGAIN) return false;
       if ((errno == EMFILE || errno == ENFILE) && spare_fd_ >= 0) {
         if (TurnAway()) continue;
-        return;  // Nobody waits: the want of a descriptor is told before the queue is looked at.
+        return false;  // Nobody waits: the want of a descriptor is told before the queue is looked at.
       }
       ++counters_.accept_failed;
       LogLine(Level::kWarn, "accept failed").Field("errno", errno);
-      return;
+      return false;
     }
     ++counters_.accepted;
     Client& c = clients_.Add(*this);
@@ -148,6 +150,7 @@
     c.stream.Adopt(fd);
     MakeRoom();
   }
+  return true;
 }
 
 // Of the clients that were opened each needs two descriptors, for itself and its leg.
@@ -171,6 +174,8 @@
       if (c == nullptr || c->state != Client::State::kHead) continue;
       ++counters_.crowded_out;
       c->stream.Write({kFailureLine});
+      c->stream.Finish();
+      c->stream.Drop();
     }
     c->stream.Close();
     Erase(*c);
@@ -191,7 +196,7 @@
   const int surplus = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (surplus >= 0) {
     ++counters_.accept_failed;
-    std::array<char, kMaxLine> unread{};  // Bytes left unread would turn the end into a reset.
+    std::array<char, kMaxLine> unread{};
     const bool told = write(surplus, kBusyLine.data(), kBusyLine.size()) > 0;
     shutdown(surplus, SHUT_WR);
     const bool asked = read(surplus, unread.data(), unread.size()) > 0;
@@ -201,6 +206,7 @@
           .Field("told", told)
           .Field("left_out", wants_.TakeLeftOut());
     }
+    ReadAway(surplus);
     close(surplus);
   }
   spare_fd_ = OpenSpare();
@@ -211,7 +217,22 @@
   const auto lately = [this](const std::list<SlotId>& all) {
     return !all.empty() && loop_.Now() < clients_.Find(all.back())->since + kMayAsk;
   };
-  return clients_.Size() > callers_.size() + ending_.size() || lately(callers_) || lately(ending_);
+  const auto unsent = [this](SlotId id) { return clients_.Find(id)->stream.Queued() > 0; };
+  return clients_.Size() > callers_.size() + ending_.size() || lately(callers_) || lately(ending_) ||
+         std::any_of(ending_.begin(), ending_.end(), unsent);
+}
+
+void Acquirer::EndResting(bool else_asks) {
+  std::vector<SlotId> resting;
+  for (const SlotId id : callers_) {
+    if (loop_.Now() < clients_.Find(id)->since + kMayAsk) break;  // As all behind it, which came later.
+    resting.push_back(id);
+  }
+  for (const SlotId id : resting) {
+    Client* c = clients_.Find(id);
+    c->stream.ReadNow();  // Its line may be there.
+    if (c->state == Client::State::kHead && (c->stream.In().empty() || !else_asks)) End(id, kBusyLine);
+  }
 }
 
 Stream* Acquirer::Find(SlotId client) {
@@ -259,6 +280,10 @@
     Malformed(*c, "no first line in time");
     return;
   }
+  // One that reads late is still owed the rest of what it was sent.
+  if (c->stream.Queued() > 0 && loop_.Now() < c->since + kDropWait) {
+    return c->deadline.Set(c->since + kDropWait);
+  }
   c->stream.Close();
   Erase(*c);
 }
--- a/src/net/acquirer.h
+++ b/src/net/acquirer.h
@@ -58,9 +58,13 @@
   // Sends a last line (or none) and ends the connection in order.
   void End(SlotId client, std::string_view last_line);
   void Reset(SlotId client);
-  // Is anyone there that may yet ask, or still reads its answer? Callers that have said nothing of use for a
-  // while and those that do not end are not waited for.
+  // Is anyone there that may yet ask, or is owed an answer or the rest of one? Callers that have said nothing
+  // of use for a while and those that do not end are not waited for.
   bool Asking();
+  // A planned end: who has rested for a while without a first line is told to come again and ended in order,
+  // so that a request in that moment finds an answer. Who has sent a part of one only where nobody
+  // `else_asks`.
+  void EndResting(bool else_asks);
 
   void OnBytes(SlotId id) override;
   void OnDropped(SlotId id, std::size_t size) override;
@@ -85,7 +89,7 @@
   };
 
   static void OnAccept(struct ev_loop* loop, ev_io* w, int events);
-  void Accept();
+  bool Accept();    // False: nobody waits any more, or none can be taken now.
   bool TurnAway();  // False: nobody waited.
   void Due(SlotId id);
   void ReadHead(Client& c);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -37,6 +37,8 @@
 constexpr Micros kMostDeadline = seconds(3);
 constexpr Micros kMoveFor = milliseconds(1600);
 constexpr Micros kMovedBefore = milliseconds(400);  // Of the end: moved clients still have to hear it.
+constexpr Micros kAnsweredBefore =
+    milliseconds(250);  // Likewise those that still wait: a reset overtakes it.
 
 // What was told by discovery stays in force for 6 s unless settings say otherwise; the rest of what they say
 // is for the wait in turn and the answer.
@@ -731,23 +733,38 @@
   plan_step_.Cancel();  // The end moves everyone by itself.
   drain_at_ = loop_.Now();
   LogLine(Level::kInfo, "draining").Field("authorisations", authorisations_.Size());
-  // Clients that still come wait in a queue that the platform holds for the next process.
-  drain_.Set(drain_at_ + (acquirer_.Inherited() ? Micros(0) : kTakeFor));
+  drain_.Set(drain_at_);
 }
 
 void Relay::DrainStep() {
-  if (phase_ == Phase::kTaking) {
+  // Clients that still come wait in a queue that the platform holds for the next process, if it does.
+  if (phase_ == Phase::kTaking && (acquirer_.Inherited() || loop_.Now() >= drain_at_ + kTakeFor)) {
     acquirer_.StopListening();
     phase_ = Phase::kMoving;
   }
+  const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
+  const bool closing = loop_.Now() >= end - kAnsweredBefore;
   std::size_t standing = 0;
   std::vector<SlotId> pending;
   authorisations_.ForEach([&](const Authorisation& a) {
     if (a.state == Authorisation::State::kStanding) ++standing;
     if (a.state == Authorisation::State::kPending) pending.push_back(a.id);
   });
-  const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
-  const Micros left = end - kMovedBefore - loop_.Now();
+  if (phase_ == Phase::kMoving) MoveStep(standing, end - kMovedBefore - loop_.Now());
+  if (closing) {  // What is unanswered now would be lost with the process.
+    for (const SlotId id : pending) Fail(id);
+  }
+  acquirer_.EndResting(!closing && authorisations_.Size() > 0);
+  const bool done = phase_ == Phase::kMoving && authorisations_.Size() == 0 && !acquirer_.Asking();
+  if (done || loop_.Now() >= end) {
+    LogLine(Level::kInfo, "drained,").Field("left", authorisations_.Size());
+    loop_.Stop();
+    return;
+  }
+  drain_.Set(loop_.Now() + kMoveStep);
+}
+
+void Relay::MoveStep(std::size_t standing, Micros left) {
   if (acquirer_.Inherited()) {
     // The next process serves already: moved clients find it at once, and go from the start, evenly in time,
     // so that it learns of the hosts from the first of them before the rest come.
@@ -756,17 +773,6 @@
     const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, left / kMoveStep));
     MoveQuietest((standing + steps - 1) / steps);
   }
-  const bool over = loop_.Now() >= end;
-  if (over) {  // What is unanswered now would be lost with the process.
-    for (const SlotId id : pending) Fail(id);
-  }
-  const bool done = authorisations_.Size() == 0 && !acquirer_.Asking();
-  if (done || over) {
-    LogLine(Level::kInfo, "drained,").Field("left", authorisations_.Size());
-    loop_.Stop();
-    return;
-  }
-  drain_.Set(loop_.Now() + kMoveStep);
 }
 
 }  // namespace stoatrun
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -137,6 +137,7 @@
   void NoteDelay(HostNumber host, Micros delay);
   void Due(SlotId owner);
   void DrainStep();
+  void MoveStep(std::size_t standing, Micros left);  // Moves some, so that all are in the time that is left.
   void PlanStep();
   // Moves `n` of the standing connections, the quietest first.
   void MoveQuietest(std::size_t n);
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -168,5 +168,111 @@
   close(cut.listener);
 }
 
+// ---- the planned end ----
+
+// Closed with the process, its request would be answered by a reset.
+TEST_CASE_METHOD(Alone,
+                 "a request on a resting connection in the moment of the planned end is refused in order") {
+  const std::string rests = GENERATE("a send PING\na expect PONG", "a raw OPEN 1 k", "a raw");
+  Play(rests + "\nwait 300\nturns 0\ndrain\nwait 5\nturns 3");
+  Play("a send OPEN 1 k c=watch,d=2000\na expect BUSY\na expect-end\ns-1 legs 0\na close\nwait 510\nstopped");
+}
+
+TEST_CASE_METHOD(Alone, "a line that comes in pieces is served in the planned end while others wait") {
+  Play(R"(
+    a send OPEN 1 k c=watch,d=2000
+    s-1 expect OPEN 1 k*
+    b raw OPEN 2 k c=wa
+    wait 300
+    drain
+    wait 800
+    b send tch,d=1000
+    s-1#3 expect OPEN 2 k*
+    s-1#3 send UP r2
+    b expect UP r2
+  )");
+}
+
+// One turn took 64 of the queue; who stood behind was reset with the listener.
+TEST_CASE_METHOD(Alone, "all who wait in the queue when the taking ends are answered") {
+  Play("drain\nwait 495\nturns 0");
+  for (int k = 0; k < 400; ++k)
+    Play("q" + std::to_string(k) + " send OPEN q" + std::to_string(k) + " k c=watch,d=900");
+  Play("turns 3\nwait 5\nwait 1800");
+  for (int k = 0; k < 400; ++k) Play("q" + std::to_string(k) + " answered");
+}
+
+#ifndef __SANITIZE_ADDRESS__  // As the test of `exhaust` in relay_test.cpp.
+TEST_CASE_METHOD(Alone,
+                 "who waits in the queue while no descriptor is left is told to come again at the end") {
+  Play("drain\nwait 495\nturns 0");
+  for (int k = 0; k < 70; ++k) {
+    const std::string q = "q" + std::to_string(k);
+    Play(q + " send OPEN " + q + " k c=watch,d=900");
+    if (k % 2 == 0) Play(q + " send M 1 " + std::string(6000, 'x'));
+  }
+  Play("exhaust z wait 5\nturns 3");
+  for (int k = 0; k < 70; ++k)
+    Play("q" + std::to_string(k) + " expect BUSY\nq" + std::to_string(k) + " expect-end");
+}
+#endif
+
+TEST_CASE_METHOD(Alone,
+                 "what waits at the planned end is answered, and its client may send on without a reset") {
+  Play(kStand);
+  Play("drain\nwait 480\nb send OPEN 2 k c=watch,d=2000\ns-1#2 expect OPEN 2 k*\nwait 1775");
+  Play(
+      "b send M 1 x\nb expect ERR\nb expect-end\na expect MOVE\na expect-end\na close\nb close\nwait "
+      "300\nstopped");
+}
+
+// A client that reads late is owed the rest of its lines.
+TEST_CASE_METHOD(Alone, "the planned end waits for what a client has not read yet") {
+  Play(kStand);
+  Play("s-1 flood 12000\ndrain\nwait 1900\na expect-moved\na close\nwait 300\nstopped");
+  CHECK(Counts().moved == 1);
+}
+
+TEST_CASE_METHOD(Alone, "a planned end keeps its times whatever else happens in it") {
+  Play(kStand);
+  const std::string moment =
+      GENERATE("a hanging host", "discovery down", "a reload", "a drain by call", "again");
+  INFO(moment);
+  Play("b send OPEN 2 k c=watch,d=2000\ns-1#2 expect OPEN 2 k*\na send M 1 x");
+  if (moment == "discovery down") Play("discovery refuse\ndiscovery close");
+  if (moment == "a reload") Play("reload discovery2");
+  if (moment == "a drain by call") Play("drain-call");
+  Play("drain\nwait 100");
+  if (moment == "a reload") Play("reload discovery");
+  if (moment == "a drain by call") Play("activate");
+  Play("c send OPEN 3 k c=watch,d=500\nwait 1000");
+  if (moment == "again") Play("drain");
+  Play("wait 1000\na expect MOVE\na expect-end\nb answered\nc answered\na close\nwait 400\nstopped");
+}
+
+// ---- crowds ----
+
+// Bad callers are closed to make room: their unread bytes must not cost anybody an answer.
+TEST_CASE("beside a thousand that send much and go, every client is answered, and so are those that stay") {
+  World world({"s-1"}, 96);
+  for (int k = 0; k < 1000; ++k) {
+    const std::string n = std::to_string(k);
+    world.Play("turns " + std::string(k % 100 == 99 ? "3" : "0"));
+    if (k % 100 == 50) world.Play("good" + n + " send OPEN g" + n + " k c=watch,d=2000");
+    if (k % 3 == 0) {
+      world.Play("stay" + n + " raw " + std::string(k % 2 == 0 ? 2000 : 30'000, 'k'));
+    } else {
+      world.Play("bad" + n + " raw " + std::string(9000, 'k') + "\nbad" + n +
+                 (k % 3 == 1 ? " close" : " reset"));
+    }
+  }
+  world.Play("turns 3\nwait 2100");
+  for (int k = 0; k < 1000; ++k) {
+    const std::string n = std::to_string(k);
+    if (k % 100 == 50) world.Play("good" + n + " answered");
+    if (k % 3 == 0) world.Play("stay" + n + " expect ERR\nstay" + n + " expect-end");
+  }
+}
+
 }  // namespace
 }  // namespace stoatrun
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -267,7 +267,11 @@
     PeerOf(verb, step);
     std::vector<int> taken;
     for (int fd = 0; (fd = open("/dev/null", O_RDONLY)) >= 0;) taken.push_back(fd);
-    for (int k = 0; k < 5; ++k) Turn();
+    if (text.empty()) {
+      for (int k = 0; k < 5; ++k) Turn();
+    } else {
+      Step(text);
+    }
     for (const int fd : taken) close(fd);
   } else if (who == "stopped") {
     REQUIRE(Until([&] { return loop_.Stopped(); }));
@@ -340,6 +344,13 @@
       peer.Send(text);
     } else if (verb == "expect") {
       Expect(peer, text, step);
+    } else if (verb == "answered") {
+      Until([&] {
+        peer.Read();
+        return peer.in.find("\r\n") != std::string::npos || peer.ended;
+      });
+      REQUIRE(peer.in.find("\r\n") != std::string::npos);
+      Expect(peer, "*", step);
     } else if (verb == "expect-end" || verb == "expect-reset") {
       REQUIRE(Until([&] {
         peer.Read();
@@ -379,6 +390,15 @@
       CHECK(peer.in.size() == flood_.size());
       CHECK((peer.in == flood_));
       peer.in.clear();
+    } else if (verb == "expect-moved") {
+      REQUIRE(Until([&] {
+        peer.Read();
+        return peer.ended;
+      }));
+      const std::size_t size = peer.in.rfind("MOVE\r\n");
+      REQUIRE(size + 6 == peer.in.size());
+      CHECK(peer.in.substr(0, size) == flood_.substr(0, size));
+      CHECK((size > Stream::kHighWater && flood_[size - 1] == '\n'));
     } else if (verb == "half") {
       shutdown(peer.fd, SHUT_WR);
     } else {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -5,12 +5,14 @@
 //   a send TEXT           client a (connected at its first step) sends a line; `raw` sends without its end
 //   a both LINE | LINE    sends two lines in one write
 //   a expect TEXT         its next line; a * at the end takes any rest
+//   a answered            any one line of an answer comes
 //   a expect-end | expect-reset         how it ends
 //   a half | close | reset              ends its sending; closes; breaks
 //   a pour N              sends N bytes of one line that never ends, then its end
 //   a flood N             sends N numbered lines; `s-1 expect-flood` takes them all
+//   a expect-moved        as many whole ones of them as came before, then MOVE and the end
 //   crowd N | quiet N     N callers connect and say nothing; so many of them are still there
-//   exhaust a             client a connects while no descriptor is left
+//   exhaust a [STEP]      client a connects while no descriptor is left, then STEP is played so
 //   s-1 ...               the same for the first leg at host s-1 (s-1#2: the second); `s-1 legs N`: so many
 //   s-1 break | idle-end                resets the connections that said nothing yet; closes those of probes
 //   turns N | turn                      so many turns of the loop follow each step (3); one turn
