Keep at most 32 idle connections for probes, so that 90 hosts leave clients their descriptors

The relay keeps 48 descriptors from its clients "for a probe to each host" (kReserve), as if there were a dozen hosts. Each probed host kept an idle connection for 0.8 of limits.idleClose: 90 hosts hold 90 (seen in the test, with the bound taken away), and at 256 descriptors and 95 clients a probe without a descriptor counts as the host's failure. Now 32 are kept, whatever the list holds; the reserve names what it is for.

The end's closing no longer begins before the taking ends, where the longest deadline is under 0.25 s.

--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -25,11 +25,16 @@
 // bytes is a reset, which may overtake the answer.
 constexpr Micros kEndWait = std::chrono::milliseconds(800);
 constexpr Micros kDropWait = std::chrono::milliseconds(2400);
+// Read and thrown away of one that has its answer: what a machine's one core reads in the longest wait. Who
+// sends more loses its answer to a reset.
 constexpr std::size_t kDropMost = std::size_t{96} * 1024 * 1024;
-// Descriptors for what is neither client nor leg: listener, loop, log, discovery, and a probe to each host.
+// Descriptors for what is neither client nor leg: 32 idle connections for probes, a dozen probes under way,
+// and the listener, the loop, the log and discovery.
 constexpr std::size_t kReserve = 48;
 constexpr std::size_t kLeastCallers = 16;  // So many may always be heard, however many clients stand.
 constexpr Micros kMayAsk = std::chrono::milliseconds(250);  // A first line comes with its connection.
+// Each takes some 20 us: a flood must not keep the turn from those who stand for more than a millisecond or
+// two.
 constexpr int kAcceptsATurn = 64;
 constexpr std::string_view kFailureLine = "ERR\r\n", kBusyLine = "BUSY\r\n";
 
--- a/src/net/issuer.cpp
+++ b/src/net/issuer.cpp
@@ -14,6 +14,9 @@
 constexpr Micros kProbeWait = std::chrono::milliseconds(300);  // A figure later than this misleads a landing.
 constexpr double kIdlePart = 0.8;  // Of the host's idle time: we end an idle connection before the host does.
 constexpr double kDrainPart = 0.6;  // Of the grace after a drain was told; the rest is for a busy machine.
+// Idle connections kept for further probes: with the acquirer's few they stay within what it leaves for
+// others, however many hosts are listed.
+constexpr std::size_t kMostIdle = 32;
 constexpr Micros kStepWait = Micros(1);  // The next step of the loop.
 
 // What the first word of a host's first line means.
@@ -161,12 +164,17 @@
   events_.OnLegEnd(owner, end, said);
 }
 
+std::size_t Issuer::Idle() const {
+  return static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(), [](const Host& h) { return static_cast<bool>(h.idle_probe); }));
+}
+
 void Issuer::EndProbe(Link& link, bool ok, std::string_view report, bool keep) {
   const HostNumber host = link.host;
   const bool told = !(link.probe && link.up);  // An idle connection owes no answer.
   Host& h = hosts_[host];
   const std::string said(report);
-  if (keep && h.phase == HostPhase::kReady && links_.Find(h.idle_probe) == nullptr) {
+  if (keep && h.phase == HostPhase::kReady && links_.Find(h.idle_probe) == nullptr && Idle() < kMostIdle) {
     link.up = true;
     h.idle_probe = link.id;
     link.stream.Consume(link.stream.In().size());
--- a/src/net/issuer.h
+++ b/src/net/issuer.h
@@ -126,6 +126,7 @@
   void ReadLeg(Link& leg);
   void ReadProbe(Link& link);
   void StopSending(HostNumber host);
+  std::size_t Idle() const;  // Probes' connections that are kept.
 
   Loop& loop_;
   IssuerEvents& events_;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -743,7 +743,7 @@
     phase_ = Phase::kMoving;
   }
   const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
-  const bool closing = loop_.Now() >= end - kAnsweredBefore;
+  const bool closing = loop_.Now() >= std::max(end - kAnsweredBefore, drain_at_ + kTakeFor);
   std::size_t standing = 0;
   std::vector<SlotId> pending;
   authorisations_.ForEach([&](const Authorisation& a) {
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -138,5 +138,27 @@
   CHECK(world.Counts().lists == 2);
 }
 
+// A request that waits for its next attempt must not go to a host whose drain was told meanwhile, however the
+// list came to be heard.
+TEST_CASE("a drain told right after a silence, an outage or a reload stops what waits from being sent") {
+  World world({"s-1"});
+  world.Play("discovery send {\"revision\":1,\"members\":[]}");
+  const std::string before = GENERATE("silence", "outage", "reload");
+  INFO(before);
+  std::string speaker = "discovery";
+  if (before == "silence") world.Play("wait 2600\ndiscovery watches 2");
+  if (before == "outage") {
+    world.Play("discovery refuse\ndiscovery close\nwait 3000\ndiscovery serve\nwait 1000");
+  }
+  if (before == "reload") {
+    speaker = "discovery2";
+    world.Play("reload discovery2\ndiscovery2 watches 1");
+  }
+  world.Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\ns-1 send BUSY\ns-1 expect-end");
+  world.Play(speaker + R"( send {"revision":9,"members":[{"id":"s-1","phase":"draining"}]})");
+  world.Play("wait 2000\na expect BUSY*\ns-1 legs 1");
+  CHECK(world.Counts().legs == 1);
+}
+
 }  // namespace
 }  // namespace stoatrun
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -4,10 +4,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "net/fleet_told.h"
 #include "net/issuer.h"
@@ -32,6 +34,25 @@
 constexpr const char* kReady =
     R"(discovery send {"revision":3,"members":[{"id":"s-1","phase":"ready","up_since_ms":1999900}]})";
 
+// A listening socket of the test's own.
+struct Door {
+  Door() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0);
+    REQUIRE(listen(fd, 64) == 0);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+  }
+  ~Door() { close(fd); }
+  Door(const Door&) = delete;
+  Door& operator=(const Door&) = delete;
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  std::string address;
+};
+
 // ---- a client that leaves while its request waits ----
 
 TEST_CASE("a request whose client has left is not sent on, wherever it waits and whatever lies behind it") {
@@ -146,26 +167,113 @@
     void OnLegRoom(SlotId /*owner*/) override {}
     void OnProbe(HostNumber /*host*/, bool /*ok*/, std::string_view /*report*/) override {}
   } cut;
-  cut.listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  REQUIRE(bind(cut.listener, reinterpret_cast<sockaddr*>(&at), size) == 0);
-  REQUIRE(listen(cut.listener, 4) == 0);
-  getsockname(cut.listener, reinterpret_cast<sockaddr*>(&at), &size);
+  const Door door;
+  cut.listener = door.fd;
   Loop loop(Clock::Mode::kManual);
   Counters counters;
   Issuer issuer(loop, cut, counters, {});
-  issuer.TakeList(
-      {1,
-       true,
-       {{.id = "s-1", .address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port)), .locality = ""}}});
+  issuer.TakeList({1, true, {{.id = "s-1", .address = door.address, .locality = ""}}});
   issuer.Open({}, 0, {"OPEN 1 k d=", "", true, Micros(1'000'000)});
   for (int k = 0; k < 1'000'000 && !cut.end; ++k) loop.Poll();
   CHECK(cut.end == LegEnd::kNotConnected);
   CHECK_FALSE(cut.sent);
-  close(cut.listener);
+}
+
+// One kept connection for each of ninety hosts would take the descriptors that clients need.
+TEST_CASE("of the connections of probes a bounded number is kept, however many hosts there are") {
+  struct Asked : IssuerEvents {
+    int answers = 0;
+    void OnLegUp(SlotId /*owner*/, std::string_view /*line*/) override {}
+    void OnLegEnd(SlotId /*owner*/, LegEnd /*how*/, std::string_view /*line*/) override {}
+    void OnLegBytes(SlotId /*owner*/) override {}
+    void OnLegFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
+    void OnLegRoom(SlotId /*owner*/) override {}
+    void OnProbe(HostNumber /*host*/, bool ok, std::string_view /*report*/) override {
+      answers += ok ? 1 : 0;
+    }
+  } asked;
+  const Door door;
+  Loop loop(Clock::Mode::kManual);
+  Counters counters;
+  Issuer issuer(loop, asked, counters, {});
+  HostList list{1, true, {}};
+  for (int k = 0; k < 90; ++k) {
+    list.entries.push_back({.id = "s-" + std::to_string(k), .address = door.address, .locality = ""});
+  }
+  issuer.TakeList(list);
+  std::vector<int> open;
+  for (int round = 1; round <= 3; ++round) {
+    for (HostNumber h = 0; h < 90; ++h) {
+      issuer.Probe(h);
+      while (asked.answers < static_cast<int>(round * 90 - 89 + h)) {
+        loop.Poll();
+        if (const int fd = accept4(door.fd, nullptr, nullptr, SOCK_NONBLOCK); fd >= 0) open.push_back(fd);
+        std::erase_if(open, [](int fd) {
+          std::array<char, 64> asks{};
+          const ssize_t n = recv(fd, asks.data(), asks.size(), 0);
+          if (n > 0) CHECK(send(fd, "PONG x0=0.1\r\n", 13, MSG_NOSIGNAL) == 13);
+          if (n == 0) close(fd);
+          return n == 0;
+        });
+      }
+    }
+  }
+  CHECK((open.size() >= 16 && open.size() <= 33));  // The last one's end may be on its way.
+  CHECK(counters.probes_failed == 0);
+  for (const int fd : open) close(fd);
+}
+
+// ---- answers in pieces ----
+
+struct FirstWord {
+  std::string line;
+  std::string expect;  // Of the client, once the line is whole; empty: another attempt follows.
+};
+
+TEST_CASE("a host's first line means the same however it is cut, and nothing before its end") {
+  const FirstWord word = GENERATE(FirstWord{"UP r1", "UP r1"}, FirstWord{"BYE inflight=7,x0=0.2", "BYE*"},
+                                  FirstWord{"MOVE", ""}, FirstWord{"ERR", ""}, FirstWord{"BUSY x0=0.9", ""});
+  const std::string end = GENERATE("in pieces", "close", "reset");
+  for (std::size_t cut = 0; cut <= word.line.size(); ++cut) {
+    if (word.line[cut] == ' ') continue;  // A blank begins no step's text.
+    INFO(word.line << " cut at " << cut << ", " << end);
+    World world({"s-1"});
+    world.Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\ns-1 raw " + word.line.substr(0, cut) +
+               "\nwait 20");
+    CHECK(world.Relayed().Outstanding() == 1);
+    if (end == "in pieces") {
+      world.Play("s-1 send " + word.line.substr(cut));
+      if (!word.expect.empty()) {
+        world.Play("a expect " + word.expect);
+        continue;
+      }
+    } else {
+      world.Play("s-1 " + end);
+      CHECK(world.Counts().legs_cut == 1);  // It may have run.
+    }
+    // What a failed attempt says later is nobody's; the client's answer is that of the next.
+    if (end == "in pieces") world.Play("wait 5\ns-1 send UP late");
+    world.Play("wait 1000\ns-1#2 expect OPEN 1 k*\ns-1#2 send UP r2\na expect UP r2");
+  }
+}
+
+TEST_CASE_METHOD(Alone,
+                 "an answer without an end is an error before UP, and goes on in its pieces after it") {
+  const std::string endless(4096, 'x');
+  SECTION("before") {
+    Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\ns-1 raw " + endless + "\ns-1 expect-end");
+    CHECK(Counts().legs_error == 1);
+  }
+  SECTION("after") {
+    Play(kStand);
+    Play("s-1 raw " + endless + "\ns-1 send y\na expect " + endless + "y");
+  }
+}
+
+TEST_CASE_METHOD(Alone, "lines that come in the turn of the host's end, or with its UP, are all passed on") {
+  Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\nturns 0\ns-1 both UP r1 | M 1 x");
+  Play("s-1 raw M 2 half\ns-1 close\nturns 3\na expect UP r1\na expect M 1 x\na expect M 2 half");
+  CHECK(Counts().legs_cut == 1);
 }
 
 // ---- the planned end ----
