A caller that went to make room is not ended again at the planned end

Seen on reading again, and by the test added here (segmentation fault without the line): EndResting() gathers those that rest, and reads each once more. One whose first line lies unread is opened by that, MakeRoom() then evicts the oldest other caller, which stands next among the gathered, and Find() gives nothing for it.

--- a/src/net/acquirer.cpp
+++ b/src/net/acquirer.cpp
@@ -235,7 +235,8 @@
   }
   for (const SlotId id : resting) {
     Client* c = clients_.Find(id);
-    c->stream.ReadNow();  // Its line may be there.
+    if (c == nullptr) continue;  // It went to make room for one before it that asked.
+    c->stream.ReadNow();         // Its line may be there.
     if (c->state == Client::State::kHead && (c->stream.In().empty() || !else_asks)) End(id, kBusyLine);
   }
 }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "net/acquirer.h"
 #include "net/fleet_told.h"
 #include "net/issuer.h"
 #include "net/world.h"
@@ -301,6 +302,42 @@
   )");
 }
 
+// One of those that rest has asked, unread as yet, and room is made for it: others that were to be ended are
+// gone.
+TEST_CASE("a planned end ends those that rest, though room is made among them meanwhile") {
+  struct Taken : AcquirerEvents {
+    int opened = 0;
+    std::string_view Objection(const OpenHead& /*head*/) override { return {}; }
+    SlotId OnOpen(SlotId /*client*/, const OpenHead& /*head*/) override { return ++opened, SlotId{}; }
+    void OnClientBytes(SlotId /*owner*/) override {}
+    void OnClientEnd(SlotId /*owner*/, StreamEnd /*end*/) override {}
+    void OnClientRoom(SlotId /*owner*/) override {}
+  } taken;
+  Loop loop(Clock::Mode::kManual);
+  Counters counters;
+  Acquirer acquirer(loop, taken, counters, 96);
+  acquirer.Listen(*Address::Parse("127.0.0.1:0"));
+  const auto address = Address::Parse("127.0.0.1:" + std::to_string(acquirer.Port()));
+  std::vector<int> callers;
+  for (int k = 0; k < 48; ++k) {  // As many as there is room for.
+    callers.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE(connect(callers.back(), reinterpret_cast<const sockaddr*>(&address->raw), sizeof address->raw) ==
+            0);
+    loop.Poll();
+  }
+  loop.clock.Advance(std::chrono::milliseconds(300));
+  const std::string_view line = "OPEN 1 k c=watch,d=2000\r\n";
+  CHECK(send(callers.front(), line.data(), line.size(), 0) == static_cast<ssize_t>(line.size()));
+  acquirer.EndResting(false);
+  CHECK(taken.opened == 1);
+  CHECK(counters.crowded_out == 1);
+  for (std::size_t k = 1; k < callers.size(); ++k) {
+    std::array<char, 16> answer{};
+    CHECK(recv(callers[k], answer.data(), answer.size(), 0) >= 5);
+  }
+  for (const int fd : callers) close(fd);
+}
+
 // One turn took 64 of the queue; who stood behind was reset with the listener.
 TEST_CASE_METHOD(Alone, "all who wait in the queue when the taking ends are answered") {
   Play("drain\nwait 495\nturns 0");
