--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -24,8 +24,8 @@
 constexpr Micros kLeaveWait = milliseconds(800);
 // Connections that were open before the start: the run waits 40 s for them.
 constexpr Micros kResumeFor = seconds(35);
-constexpr Micros kResumeRetry = milliseconds(250);
-constexpr Micros kResumeWait = seconds(10);
+constexpr Micros kResumeRetry = milliseconds(250);  // For a host not yet listed: often within that time.
+constexpr Micros kResumeWait = seconds(10);         // Of one attempt: the host may be slow, and three fit in.
 constexpr Micros kDelayPeriod = seconds(1);  // A host's slow messages are told no more often than this.
 // A planned end: clients still come for 0.2 to 0.4 s. SIGKILL comes 0.7 s after the longest deadline, which
 // is taken as 3 s where it is longer: 0.2 s before that the relay ends. The standing clients are moved late
@@ -47,7 +47,7 @@
 constexpr double kAgentPart = 0.3;
 constexpr Micros kUsualGrace = milliseconds(250);
 
-constexpr Micros kAskFellows = milliseconds(250);
+constexpr Micros kAskFellows = milliseconds(250);  // As the module's own tick: what is told is acted on then.
 constexpr Micros kQuotaAdvice =
     seconds(1);  // When units of a quota come free is not known: soon, as others end.
 
