--- a/rig/rig.cpp
+++ b/rig/rig.cpp
@@ -205,7 +205,7 @@
 
   void End() {
     for (const auto& clear : std::exchange(graveyard_, {})) clear();
-    for (const auto& leg : legs_) leg->lines.reset();
+    for (const auto& attempt : legs_) attempt->lines.reset();
     for (auto& r : relays_) {
       for (const auto& c : r->connections) c->lines.reset();
       if (r->pid == 0) continue;
@@ -451,43 +451,44 @@
     r.listeners.push_back(std::make_unique<Watched>(poller_, fd, [this, &r, s, fd] {
       for (int c = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); c >= 0;
            c = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
-        auto leg = std::make_shared<Leg>();
-        legs_.push_back(leg);
-        leg->lines = std::make_shared<Lines>(
-            poller_, c, [this, &r, s, leg](std::string_view line) { Serve(r, servers_[s], leg, line); },
-            [this, &r, leg] { LegOver(r, leg); });
+        auto attempt = std::make_shared<Leg>();
+        legs_.push_back(attempt);
+        attempt->lines = std::make_shared<Lines>(
+            poller_, c,
+            [this, &r, s, attempt](std::string_view line) { Serve(r, servers_[s], attempt, line); },
+            [this, &r, attempt] { AttemptOver(r, attempt); });
       }
     }));
   }
 
-  void LegOver(Relay& r, const std::shared_ptr<Leg>& leg) {
-    if (leg->over) return;
-    leg->over = true;
+  void AttemptOver(Relay& r, const std::shared_ptr<Leg>& attempt) {
+    if (attempt->over) return;
+    attempt->over = true;
     // A run that has ended held nothing any more.
-    if (leg->counted && r.pid != 0)
-      Tell(R"("e":"release","r":"{}","b":"connections:{}"}})", r.name, leg->group);
-    leg->lines->Close();
-    Bury(leg);
-    std::erase(legs_, leg);
-    owner_.erase(leg.get());
+    if (attempt->counted && r.pid != 0)
+      Tell(R"("e":"release","r":"{}","b":"connections:{}"}})", r.name, attempt->group);
+    attempt->lines->Close();
+    Bury(attempt);
+    std::erase(legs_, attempt);
+    owner_.erase(attempt.get());
   }
 
   // Legs that their relay has ended already, though this was not read yet: what comes after it must be seen
   // after it.
   void SweepLegs() {
-    for (const auto& leg : std::vector(legs_)) {
-      if (leg->counted && leg->lines->PeerGone()) LegOver(*owner_[leg.get()], leg);
+    for (const auto& attempt : std::vector(legs_)) {
+      if (attempt->counted && attempt->lines->PeerGone()) AttemptOver(*owner_[attempt.get()], attempt);
     }
   }
 
-  void Serve(Relay& r, Server& s, const std::shared_ptr<Leg>& leg, std::string_view line) {
-    if (line == "PING") return leg->lines->Send("PONG\r\n");
+  void Serve(Relay& r, Server& s, const std::shared_ptr<Leg>& attempt, std::string_view line) {
+    if (line == "PING") return attempt->lines->Send("PONG\r\n");
     if (line == "STATS") {
       const auto held = std::count_if(legs_.begin(), legs_.end(), [](const auto& l) { return l->counted; });
-      return leg->lines->Send(fmt::format("PONG outstanding={},errors_per_s=0,x0={:.2f}\r\n", held,
-                                          static_cast<double>(held) / 400.0));
+      return attempt->lines->Send(fmt::format("PONG outstanding={},errors_per_s=0,x0={:.2f}\r\n", held,
+                                              static_cast<double>(held) / 400.0));
     }
-    if (!line.starts_with("OPEN ")) return leg->lines->Send(fmt::format("{}\r\n", line));
+    if (!line.starts_with("OPEN ")) return attempt->lines->Send(fmt::format("{}\r\n", line));
     const std::string id(line.substr(5, line.find(' ', 5) - 5));
     if (Cold(s)) Tell(R"("e":"spend","r":"{}","b":"cold:{}"}})", r.name, s.name);
     if (!tried_.insert(id).second) Tell(R"("e":"spend","r":"{}","b":"attempts"}})", r.name);
@@ -496,18 +497,18 @@
     const bool to_it = r.bad_link || (r.lies && IndexOf(s.name) % 3 == 0);
     if (s.bad || to_it) {
       Tell(R"("e":"saw","r":"{}","s":"{}","v":"failing"}})", r.name, s.name);
-      return leg->lines->Send("ERR\r\n");
+      return attempt->lines->Send("ERR\r\n");
     }
     Tell(R"("e":"saw","r":"{}","s":"{}","v":"fine"}})", r.name, s.name);
     const std::size_t t = line.find(",t=");
     if (t != std::string_view::npos) {
-      leg->group = std::string(line.substr(t + 3, line.find_first_of(", ", t + 3) - t - 3));
-      owner_[leg.get()] = &r;
+      attempt->group = std::string(line.substr(t + 3, line.find_first_of(", ", t + 3) - t - 3));
+      owner_[attempt.get()] = &r;
       SweepLegs();
-      leg->counted = true;
-      Tell(R"("e":"hold","r":"{}","b":"connections:{}"}})", r.name, leg->group);
+      attempt->counted = true;
+      Tell(R"("e":"hold","r":"{}","b":"connections:{}"}})", r.name, attempt->group);
     }
-    leg->lines->Send(fmt::format("UP {}\r\n", id));
+    attempt->lines->Send(fmt::format("UP {}\r\n", id));
   }
 
   // ---- discovery ----
--- a/src/base/fellows.h
+++ b/src/base/peers.h
@@ -1,7 +1,7 @@
 // The rest of the fleet, as the relay sees it: whom it tells what it does, and asks what all together may do.
 // Without a fleet there is none of this, and the relay acts as if it were alone.
-#ifndef STOATRUN_BASE_FELLOWS_H_
-#define STOATRUN_BASE_FELLOWS_H_
+#ifndef STOATRUN_BASE_PEERS_H_
+#define STOATRUN_BASE_PEERS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +12,7 @@
 
 namespace stoatrun {
 
-class Fellows {
+class Peers {
  public:
   enum class End { kServed, kRefused, kFailed };
   enum class Saw { kFine, kFailing, kFull };
@@ -28,7 +28,7 @@
     bool avoid = false;  // Others found it bad, and nothing was seen here that says otherwise.
   };
 
-  virtual ~Fellows() = default;
+  virtual ~Peers() = default;
   // A connection came in. Each is finished once.
   virtual Ticket Take(std::size_t class_index, std::string_view group) = 0;
   virtual void Finish(Ticket& ticket, End end) = 0;
@@ -50,4 +50,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_BASE_FELLOWS_H_
+#endif  // STOATRUN_BASE_PEERS_H_
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -1,4 +1,5 @@
-// One non-blocking socket with bounded buffers; the acquirer side, the legs, probes and discovery share it.
+// One non-blocking socket with bounded buffers; the downstream side, the attempts, probes and discovery share
+// it.
 #ifndef STOATRUN_BASE_STREAM_H_
 #define STOATRUN_BASE_STREAM_H_
 
--- a/src/fleet/io/seat.cpp
+++ b/src/fleet/io/seat.cpp
@@ -12,7 +12,7 @@
   return !talk_.Seat().Purses().Knows(budget) || talk_.Spend(budget);
 }
 
-Fellows::Ticket Seat::Take(std::size_t class_index, std::string_view group) {
+Peers::Ticket Seat::Take(std::size_t class_index, std::string_view group) {
   const Accounts::Ticket t = talk_.Seat().Own().Take(static_cast<std::uint32_t>(class_index), group);
   return {t.row, t.open, 0};
 }
@@ -57,7 +57,7 @@
   adviser_.Listed(hosts);
 }
 
-std::vector<Fellows::Advice> Seat::Advise(const std::vector<std::string>& cold) {
+std::vector<Peers::Advice> Seat::Advise(const std::vector<std::string>& cold) {
   std::vector<Advice> out;
   for (ServerAdvice& a : adviser_.Advise(loop_.Now(), cold))
     out.push_back({std::move(a.server), a.unseen, a.cold, a.avoid});
--- a/src/fleet/io/seat.h
+++ b/src/fleet/io/seat.h
@@ -5,13 +5,13 @@
 #include <string>
 #include <vector>
 
-#include "base/fellows.h"
+#include "base/peers.h"
 #include "fleet/adviser.h"
 #include "fleet/io/talk.h"
 
 namespace stoatrun::fleet {
 
-class Seat : public Fellows {
+class Seat : public Peers {
  public:
   // `quotas`: groups whose connections count against a budget of all relays.
   Seat(Loop& loop, Talk& talk, std::vector<std::string> quotas);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,4 +1,4 @@
-// Discovery: holds a watch on the list of issuer hosts and renews it when it ends, fails or falls silent.
+// Discovery: holds a watch on the list of upstream hosts and renews it when it ends, fails or falls silent.
 #ifndef STOATRUN_NET_DISCOVERY_H_
 #define STOATRUN_NET_DISCOVERY_H_
 
--- a/src/net/acquirer.cpp
+++ b/src/net/downstream.cpp
@@ -1,4 +1,4 @@
-#include "net/acquirer.h"
+#include "net/downstream.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -28,8 +28,8 @@
 // Read and thrown away of one that has its answer: what a machine's one core reads in the longest wait. Who
 // sends more loses its answer to a reset.
 constexpr std::size_t kDropMost = std::size_t{96} * 1024 * 1024;
-// Descriptors for what is neither client nor leg: 32 idle connections for probes, a dozen probes under way,
-// and the listener, the loop, the log and discovery.
+// Descriptors for what is neither client nor attempt: 32 idle connections for probes, a dozen probes under
+// way, and the listener, the loop, the log and discovery.
 constexpr std::size_t kReserve = 48;
 constexpr std::size_t kLeastCallers = 16;  // So many may always be heard, however many clients stand.
 constexpr Micros kMayAsk = std::chrono::milliseconds(250);  // A first line comes with its connection.
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-Acquirer::Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors)
+Downstream::Downstream(Loop& loop, DownstreamEvents& events, Counters& counters, std::size_t descriptors)
     : loop_(loop),
       events_(events),
       counters_(counters),
@@ -64,12 +64,12 @@
   loop_.AddSweeper([this] { clients_.Sweep(); });
 }
 
-Acquirer::~Acquirer() {
+Downstream::~Downstream() {
   StopListening();
   if (spare_fd_ >= 0) close(spare_fd_);
 }
 
-void Acquirer::Listen(const Address& address) {
+void Downstream::Listen(const Address& address) {
   const auto fail = [](const char* what) { throw std::system_error(errno, std::generic_category(), what); };
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) fail("socket");
@@ -89,7 +89,7 @@
   ev_io_start(loop_.Raw(), &accept_);
 }
 
-void Acquirer::Inherit(int fd) {
+void Downstream::Inherit(int fd) {
   const auto refuse = [fd](std::string_view why) {
     throw ConfigError("PROXY_ACCEPT_FD: descriptor " + std::to_string(fd) + " " + std::string(why));
   };
@@ -114,7 +114,7 @@
   ev_io_start(loop_.Raw(), &accept_);
 }
 
-void Acquirer::StopListening() {
+void Downstream::StopListening() {
   if (fd_ < 0) return;
   // Who already waits in the queue would be reset; it holds at most so many.
   for (int left = inherited_ ? 0 : SOMAXCONN; left > 0 && Accept();) left -= kAcceptsATurn;
@@ -123,17 +123,17 @@
   fd_ = -1;
 }
 
-int Acquirer::Port() const {
+int Downstream::Port() const {
   sockaddr_in bound{};
   socklen_t size = sizeof bound;
   return getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) == 0 ? ntohs(bound.sin_port) : 0;
 }
 
-void Acquirer::OnAccept(struct ev_loop* /*loop*/, ev_io* w, int /*events*/) {
-  static_cast<Acquirer*>(w->data)->Accept();
+void Downstream::OnAccept(struct ev_loop* /*loop*/, ev_io* w, int /*events*/) {
+  static_cast<Downstream*>(w->data)->Accept();
 }
 
-bool Acquirer::Accept() {
+bool Downstream::Accept() {
   for (int k = 0; k < kAcceptsATurn; ++k) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -158,15 +158,15 @@
   return true;
 }
 
-// Of the clients that were opened each needs two descriptors, for itself and its leg.
-bool Acquirer::TakesAnother() const {
+// Of the clients that were opened each needs two descriptors, for itself and its attempt.
+bool Downstream::TakesAnother() const {
   const std::size_t opened = clients_.Size() - callers_.size() - ending_.size();
   return 2 * (opened + 1) + kReserve + kLeastCallers <= descriptors_;
 }
 
-// Hundreds that connect and say nothing must not take the descriptors that clients, legs, probes and
+// Hundreds that connect and say nothing must not take the descriptors that clients, attempts, probes and
 // discovery need. First go those that have their answer, then the oldest without a first line.
-void Acquirer::MakeRoom() {
+void Downstream::MakeRoom() {
   const std::size_t opened = clients_.Size() - callers_.size() - ending_.size();
   const std::size_t room =
       std::max(kLeastCallers, descriptors_ - std::min(descriptors_, 2 * opened + kReserve));
@@ -187,7 +187,7 @@
   }
 }
 
-void Acquirer::Erase(Client& c) {
+void Downstream::Erase(Client& c) {
   if (c.state == Client::State::kHead) callers_.erase(c.place);
   if (c.state == Client::State::kEnding) ending_.erase(c.place);
   c.deadline.Cancel();
@@ -196,7 +196,7 @@
 
 // Without a descriptor the queue would stay ready and spin the loop, and who waits in it would get no answer.
 // The spare descriptor takes one caller at a time and tells it to come again.
-bool Acquirer::TurnAway() {
+bool Downstream::TurnAway() {
   close(spare_fd_);
   const int surplus = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (surplus >= 0) {
@@ -218,7 +218,7 @@
   return surplus >= 0;
 }
 
-bool Acquirer::Asking() {
+bool Downstream::Asking() {
   const auto lately = [this](const std::list<SlotId>& all) {
     return !all.empty() && loop_.Now() < clients_.Find(all.back())->since + kMayAsk;
   };
@@ -227,7 +227,7 @@
          std::any_of(ending_.begin(), ending_.end(), unsent);
 }
 
-void Acquirer::EndResting(bool else_asks) {
+void Downstream::EndResting(bool else_asks) {
   std::vector<SlotId> resting;
   for (const SlotId id : callers_) {
     if (loop_.Now() < clients_.Find(id)->since + kMayAsk) break;  // As all behind it, which came later.
@@ -241,12 +241,12 @@
   }
 }
 
-Stream* Acquirer::Find(SlotId client) {
+Stream* Downstream::Find(SlotId client) {
   Client* c = clients_.Find(client);
   return c == nullptr || c->state != Client::State::kOpened ? nullptr : &c->stream;
 }
 
-void Acquirer::Up(SlotId client, std::string_view line) {
+void Downstream::Up(SlotId client, std::string_view line) {
   Client* c = clients_.Find(client);
   if (c == nullptr || c->state != Client::State::kOpened) return;
   c->stream.Write({line});
@@ -254,7 +254,7 @@
   c->head_size = 0;
 }
 
-void Acquirer::End(SlotId client, std::string_view last_line) {
+void Downstream::End(SlotId client, std::string_view last_line) {
   Client* c = clients_.Find(client);
   if (c == nullptr || c->state == Client::State::kEnding) return;
   // Closing at once would answer bytes on their way with a reset, which may overtake the last line.
@@ -272,14 +272,14 @@
   c->deadline.Set(loop_.Now() + kEndWait);
 }
 
-void Acquirer::Reset(SlotId client) {
+void Downstream::Reset(SlotId client) {
   Client* c = clients_.Find(client);
   if (c == nullptr) return;
   c->stream.Reset();
   Erase(*c);
 }
 
-void Acquirer::Due(SlotId id) {
+void Downstream::Due(SlotId id) {
   Client* c = clients_.Find(id);
   if (c == nullptr) return;
   if (c->state == Client::State::kHead) {
@@ -294,7 +294,7 @@
   Erase(*c);
 }
 
-void Acquirer::Malformed(Client& c, std::string_view why) {
+void Downstream::Malformed(Client& c, std::string_view why) {
   ++counters_.malformed;
   if (bad_lines_.Allows(loop_.Now())) {
     LogLine(Level::kInfo, "bad first line")
@@ -305,7 +305,7 @@
   End(c.id, kFailureLine);
 }
 
-void Acquirer::ReadHead(Client& c) {
+void Downstream::ReadHead(Client& c) {
   for (;;) {
     const std::string_view in = c.stream.In();
     const auto size = LineLength(in);
@@ -347,7 +347,7 @@
   }
 }
 
-void Acquirer::OnBytes(SlotId id) {
+void Downstream::OnBytes(SlotId id) {
   Client* c = clients_.Find(id);
   if (c == nullptr) return;
   if (c->state == Client::State::kHead) {
@@ -362,7 +362,7 @@
   }
 }
 
-void Acquirer::OnDropped(SlotId id, std::size_t size) {
+void Downstream::OnDropped(SlotId id, std::size_t size) {
   Client* c = clients_.Find(id);
   if (c == nullptr) return;
   c->dropped += size;
@@ -370,7 +370,7 @@
   c->deadline.Set(std::min(c->since + kDropWait, loop_.Now() + kEndWait));
 }
 
-void Acquirer::OnEnd(SlotId id, StreamEnd end) {
+void Downstream::OnEnd(SlotId id, StreamEnd end) {
   Client* c = clients_.Find(id);
   if (c == nullptr) return;
   if (c->state == Client::State::kOpened) {
@@ -387,13 +387,13 @@
 }
 
 // A client that stands is owed a passing on of all it sent first; one that waits has left.
-void Acquirer::OnLeaving(SlotId id) {
+void Downstream::OnLeaving(SlotId id) {
   Client* c = clients_.Find(id);
   if (c == nullptr || c->state != Client::State::kOpened || c->head_size == 0) return;
   events_.OnClientEnd(c->owner, StreamEnd::kFinished);
 }
 
-void Acquirer::OnRoom(SlotId id) {
+void Downstream::OnRoom(SlotId id) {
   Client* c = clients_.Find(id);
   if (c != nullptr && c->state == Client::State::kOpened) events_.OnClientRoom(c->owner);
 }
--- a/src/net/acquirer.h
+++ b/src/net/downstream.h
@@ -1,6 +1,6 @@
-// The acquirer side: takes client connections, reads their first line, answers them and ends them.
-#ifndef STOATRUN_NET_ACQUIRER_H_
-#define STOATRUN_NET_ACQUIRER_H_
+// The downstream side: takes client connections, reads their first line, answers them and ends them.
+#ifndef STOATRUN_NET_DOWNSTREAM_H_
+#define STOATRUN_NET_DOWNSTREAM_H_
 
 #include <ev.h>
 
@@ -17,9 +17,9 @@
 
 namespace stoatrun {
 
-class AcquirerEvents {
+class DownstreamEvents {
  public:
-  virtual ~AcquirerEvents() = default;
+  virtual ~DownstreamEvents() = default;
   // Why a first line of the right form is no request here; empty: it is one.
   virtual std::string_view Objection(const OpenHead& head) = 0;
   // Gives the number by which the client's further events name it. The head's views are good until Up or End.
@@ -32,13 +32,13 @@
   virtual void OnNoRoom(const OpenHead& /*head*/) {}
 };
 
-class Acquirer : public StreamHandler {
+class Downstream : public StreamHandler {
  public:
   // `descriptors`: what the whole relay may hold.
-  Acquirer(Loop& loop, AcquirerEvents& events, Counters& counters, std::size_t descriptors);
-  ~Acquirer() override;
-  Acquirer(const Acquirer&) = delete;
-  Acquirer& operator=(const Acquirer&) = delete;
+  Downstream(Loop& loop, DownstreamEvents& events, Counters& counters, std::size_t descriptors);
+  ~Downstream() override;
+  Downstream(const Downstream&) = delete;
+  Downstream& operator=(const Downstream&) = delete;
 
   void Listen(const Address& address);  // Throws std::system_error.
   // Takes a listening socket that the platform holds and hands to each process in turn. Throws ConfigError if
@@ -74,7 +74,7 @@
 
  private:
   struct Client {
-    Client(SlotId slot, Acquirer& all)
+    Client(SlotId slot, Downstream& all)
         : id(slot),
           stream(all.loop_, all, slot),
           deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
@@ -94,12 +94,12 @@
   void Due(SlotId id);
   void ReadHead(Client& c);
   void Malformed(Client& c, std::string_view why);
-  bool TakesAnother() const;  // Are there descriptors for one more client and its leg?
+  bool TakesAnother() const;  // Are there descriptors for one more client and its attempt?
   void MakeRoom();
   void Erase(Client& c);
 
   Loop& loop_;
-  AcquirerEvents& events_;
+  DownstreamEvents& events_;
   Counters& counters_;
   ev_io accept_{};
   int fd_ = -1;
@@ -114,4 +114,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_NET_ACQUIRER_H_
+#endif  // STOATRUN_NET_DOWNSTREAM_H_
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -1,4 +1,4 @@
-// A list of issuer hosts as a source of entries gives it: discovery here, another inventory later.
+// A list of upstream hosts as a source of entries gives it: discovery here, another inventory later.
 #ifndef STOATRUN_NET_HOSTS_H_
 #define STOATRUN_NET_HOSTS_H_
 
--- a/src/net/line.cpp
+++ b/src/net/line.cpp
@@ -14,7 +14,7 @@
     8.64e7;  // A day. Nobody waits longer; connections from before ask for 71 minutes.
 constexpr std::array<std::string_view, 8> kFields{"c", "t", "d", "g", "r", "again", "at", "h"};
 
-// Visible ASCII alone: what else comes is not of this protocol and must not reach an issuer host.
+// Visible ASCII alone: what else comes is not of this protocol and must not reach an upstream host.
 bool Plain(std::string_view line) {
   for (const char c : line) {
     if (c < ' ' || c > '~') return false;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -47,7 +47,7 @@
 constexpr double kAgentPart = 0.3;
 constexpr Micros kUsualGrace = milliseconds(250);
 
-constexpr Micros kAskFellows = milliseconds(250);  // As the module's own tick: what is told is acted on then.
+constexpr Micros kAskPeers = milliseconds(250);  // As the module's own tick: what is told is acted on then.
 constexpr Micros kQuotaAdvice =
     seconds(1);  // When units of a quota come free is not known: soon, as others end.
 
@@ -64,8 +64,8 @@
   return shortest;
 }
 
-Issuer::Times TimesOf(const arrowhatch::settings::SiteSettings& site) {
-  Issuer::Times times;
+Upstream::Times TimesOf(const arrowhatch::settings::SiteSettings& site) {
+  Upstream::Times times;
   if (site.connect_timeout.count() > 0) times.connect = site.connect_timeout;
   if (site.idle_close.count() > 0) times.idle_close = site.idle_close;
   if (site.stop_sending_within.count() > 0) times.stop_sending = site.stop_sending_within;
@@ -95,42 +95,42 @@
 
 }  // namespace
 
-Relay::Relay(Loop& loop, const Config& config, Meter* meter, Fellows* fellows)
+Relay::Relay(Loop& loop, const Config& config, Meter* meter, Peers* peers)
     : loop_(loop),
       meter_(meter),
-      fellows_(fellows),
+      peers_(peers),
       start_(config),
       site_(start_.site),
       zones_(config.site.zone_names),
       slow_message_(ShortestAim(config.site.module) / 3),
       balancer_(config.site.module),
-      acquirer_(loop, *this, counters_, DescriptorsOf(config)),
-      issuer_(loop, *this, counters_, TimesOf(config.site)),
+      downstream_(loop, *this, counters_, DescriptorsOf(config)),
+      upstream_(loop, *this, counters_, TimesOf(config.site)),
       pushed_(config.site.module.list_mode == arrowhatch::ListMode::kPushed),
       discovery_(loop, *this, counters_, config.discovery, config.discovery_text, config.known.revision,
                  {pushed_ ? 1 : config.site.module.gateways, config.site.module.seed, LongestWait(site_)}),
       drain_(loop.deadlines, [this] { DrainStep(); }),
-      ask_fellows_(loop.deadlines, [this] { AskFellows(); }),
+      ask_peers_(loop.deadlines, [this] { AskPeers(); }),
       plan_step_(loop.deadlines, [this] { PlanStep(); }) {
   counters_.classes.resize(site_.class_names.size());
   loop_.AddSweeper([this] {
-    authorisations_.Sweep();
+    requests_.Sweep();
     timers_.Sweep();
   });
 }
 
 void Relay::Start() {
   if (start_.accept_fd) {
-    acquirer_.Inherit(*start_.accept_fd);
+    downstream_.Inherit(*start_.accept_fd);
   } else {
-    acquirer_.Listen(start_.listen);
+    downstream_.Listen(start_.listen);
   }
   TakeList(start_.known, ListSource::kKnown);
   // Where lists are pushed the module asks for none; on sockets they come from an agent of this machine's
   // own, which speaks only to a watch.
   if (pushed_) discovery_.Watch();
   started_ = true;
-  if (fellows_ != nullptr) AskFellows();
+  if (peers_ != nullptr) AskPeers();
 }
 
 bool Relay::Ready() const { return started_ && phase_ == Phase::kServing && plan_.SaysYes(); }
@@ -138,25 +138,25 @@
 void Relay::DrainByCall() {
   ++counters_.drains_called;
   if (plan_.Draining()) return;
-  LogLine(Level::kInfo, "drain called").Field("authorisations", authorisations_.Size());
+  LogLine(Level::kInfo, "drain called").Field("authorisations", requests_.Size());
   plan_.Drain(loop_.Now());
-  acquirer_.SayYes(false);
+  downstream_.SayYes(false);
   PlanStep();
 }
 
 void Relay::Activate() {
   ++counters_.activations;
   if (!plan_.Draining()) return;
-  LogLine(Level::kInfo, "activated").Field("authorisations", authorisations_.Size());
+  LogLine(Level::kInfo, "activated").Field("authorisations", requests_.Size());
   plan_.Activate();
   plan_step_.Cancel();
-  acquirer_.SayYes(phase_ == Phase::kServing);
+  downstream_.SayYes(phase_ == Phase::kServing);
 }
 
 void Relay::PlanStep() {
   std::size_t standing = 0;
-  authorisations_.ForEach([&](const Authorisation& a) {
-    if (a.state == Authorisation::State::kStanding) ++standing;
+  requests_.ForEach([&](const Request& a) {
+    if (a.state == Request::State::kStanding) ++standing;
   });
   const drain::Step step = plan_.At(loop_.Now(), standing);
   counters_.drain_moves += std::min(standing, step.moves);
@@ -167,8 +167,8 @@
 void Relay::MoveQuietest(std::size_t n) {
   if (n == 0) return;
   std::vector<drain::Standing> all;
-  authorisations_.ForEach([&](const Authorisation& a) {
-    if (a.state == Authorisation::State::kStanding)
+  requests_.ForEach([&](const Request& a) {
+    if (a.state == Request::State::kStanding)
       all.push_back({a.id.Packed(), a.asked_at.count() > 0, a.answered_at});
   });
   for (const std::uint64_t id : drain::Quietest(std::move(all), n)) Move(SlotId::Unpack(id));
@@ -209,173 +209,175 @@
   telling_ = false;
 }
 
-void Relay::OpenLeg(SlotId authorisation, HostNumber host, Micros wait) {
-  Authorisation* a = authorisations_.Find(authorisation);
-  if (a == nullptr || a->state != Authorisation::State::kPending || a->leg) {
-    Tell(LegEnded(authorisation, host, LegEnd::kNotConnected, true, {}));
+void Relay::OpenAttempt(SlotId request, HostNumber host, Micros wait) {
+  Request* a = requests_.Find(request);
+  if (a == nullptr || a->state != Request::State::kPending || a->attempt) {
+    Tell(AttemptEnded(request, host, AttemptEnd::kNotConnected, true, {}));
     return;
   }
-  if (fellows_ != nullptr && !FleetAllows(*a, host)) return;
+  if (peers_ != nullptr && !FleetAllows(*a, host)) return;
   a->host = host;
-  ++a->legs;
-  const LegWork work{a->before_wait, a->after_wait, true, std::min(wait, a->opening.deadline - loop_.Now())};
-  a->leg = issuer_.Open(authorisation, host, work);
+  ++a->attempts;
+  const AttemptWork work{a->before_wait, a->after_wait, true,
+                         std::min(wait, a->opening.deadline - loop_.Now())};
+  a->attempt = upstream_.Open(request, host, work);
   LogLine(Level::kDebug, "leg")
-      .Field("number", a->legs)
-      .Field("of", authorisation.Packed())
-      .Field("host", issuer_.IdOf(host));
+      .Field("number", a->attempts)
+      .Field("of", request.Packed())
+      .Field("host", upstream_.IdOf(host));
 }
 
-void Relay::AbandonLeg(SlotId authorisation, std::uint32_t leg_number) {
-  Authorisation* a = authorisations_.Find(authorisation);
-  if (a == nullptr || a->state != Authorisation::State::kPending || !a->leg || leg_number + 1 != a->legs)
+void Relay::AbandonAttempt(SlotId request, std::uint32_t attempt_number) {
+  Request* a = requests_.Find(request);
+  if (a == nullptr || a->state != Request::State::kPending || !a->attempt ||
+      attempt_number + 1 != a->attempts)
     return;
-  issuer_.Close(std::exchange(a->leg, {}));
-  Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, false, {}));
+  upstream_.Close(std::exchange(a->attempt, {}));
+  Tell(AttemptEnded(request, a->host, AttemptEnd::kAbandoned, false, {}));
 }
 
-void Relay::Answer(SlotId authorisation, std::string_view line) {
-  Authorisation* a = authorisations_.Find(authorisation);
-  if (a == nullptr || a->state != Authorisation::State::kPending) return;
-  if (a->leg) {
-    issuer_.Close(std::exchange(a->leg, {}));
-    Tell(LegEnded(authorisation, a->host, LegEnd::kAbandoned, true, {}));
+void Relay::Answer(SlotId request, std::string_view line) {
+  Request* a = requests_.Find(request);
+  if (a == nullptr || a->state != Request::State::kPending) return;
+  if (a->attempt) {
+    upstream_.Close(std::exchange(a->attempt, {}));
+    Tell(AttemptEnded(request, a->host, AttemptEnd::kAbandoned, true, {}));
   }
   if (a->opening.class_index < counters_.classes.size()) {
     ClassCounters& c = counters_.classes[a->opening.class_index];
     ++(line.starts_with("BUSY") ? c.declined : c.aborted);
   }
-  acquirer_.End(a->client, line);
-  if (line.starts_with("BUSY")) a->end = Fellows::End::kRefused;
+  downstream_.End(a->client, line);
+  if (line.starts_with("BUSY")) a->end = Peers::End::kRefused;
   Forget(*a);
 }
 
 // ---- the rest of the fleet ----
 
-void Relay::Take(Authorisation& a) {
-  if (fellows_ != nullptr) a.account = fellows_->Take(a.opening.class_index, a.group);
+void Relay::Take(Request& a) {
+  if (peers_ != nullptr) a.account = peers_->Take(a.opening.class_index, a.group);
 }
 
-bool Relay::FleetAllows(Authorisation& a, HostNumber host) {
+bool Relay::FleetAllows(Request& a, HostNumber host) {
   // A further attempt beyond the budget of all relays is held back; the module then gives its final answer.
-  if (a.legs > 0 && !fellows_->MayAttemptAgain()) {
+  if (a.attempts > 0 && !peers_->MayAttemptAgain()) {
     ++counters_.legs_held_back;
-    Tell(LegEnded(a.id, host, LegEnd::kHeldBack, false, {}));
+    Tell(AttemptEnded(a.id, host, AttemptEnd::kHeldBack, false, {}));
     return false;
   }
   // A cold host that the others have filled meanwhile has, for this relay, turned the client away.
   const auto started = started_at_.find(host);
   const bool cold = started != started_at_.end() && loop_.Now() < started->second + site_.module.cold_time;
-  if (cold && !fellows_->MaySendCold(issuer_.IdOf(host))) {
+  if (cold && !peers_->MaySendCold(upstream_.IdOf(host))) {
     ++counters_.legs_held_back;
-    Tell(LegEnded(a.id, host, LegEnd::kTurnedAway, false, {}));
+    Tell(AttemptEnded(a.id, host, AttemptEnd::kTurnedAway, false, {}));
     return false;
   }
-  fellows_->OnSent(issuer_.IdOf(host));
+  peers_->OnSent(upstream_.IdOf(host));
   return true;
 }
 
 // Each tick: what the others know that the module should, and what this relay holds beyond its quotas.
-void Relay::AskFellows() {
+void Relay::AskPeers() {
   std::vector<std::string> cold;
   for (const auto& [host, at] : started_at_) {
-    if (loop_.Now() < at + site_.module.cold_time) cold.push_back(issuer_.IdOf(host));
+    if (loop_.Now() < at + site_.module.cold_time) cold.push_back(upstream_.IdOf(host));
   }
-  for (const Fellows::Advice& a : fellows_->Advise(cold)) {
-    if (const auto host = issuer_.Known(a.host)) Tell(PeersSay(*host, a.unseen, a.cold, a.avoid));
+  for (const Peers::Advice& a : peers_->Advise(cold)) {
+    if (const auto host = upstream_.Known(a.host)) Tell(PeersSay(*host, a.unseen, a.cold, a.avoid));
   }
-  for (const auto& excess : fellows_->Excess()) {
+  for (const auto& excess : peers_->Excess()) {
     const std::uint32_t quota = excess.first;
     const std::size_t n = excess.second;
     std::vector<SlotId> over;
-    authorisations_.ForEach([&](const Authorisation& a) {
-      if (over.size() < n && a.account.quota == quota && a.state == Authorisation::State::kStanding)
+    requests_.ForEach([&](const Request& a) {
+      if (over.size() < n && a.account.quota == quota && a.state == Request::State::kStanding)
         over.push_back(a.id);
     });
     for (const SlotId id : over) Move(id);
   }
-  ask_fellows_.Set(loop_.Now() + kAskFellows);
+  ask_peers_.Set(loop_.Now() + kAskPeers);
 }
 
-void Relay::NoteOutcome(HostNumber host, LegEnd end) {
-  if (fellows_ == nullptr) return;
+void Relay::NoteOutcome(HostNumber host, AttemptEnd end) {
+  if (peers_ == nullptr) return;
   switch (end) {
-    case LegEnd::kServed:
-    case LegEnd::kSentAway:
-      return fellows_->OnSaw(issuer_.IdOf(host), Fellows::Saw::kFine);
-    case LegEnd::kTurnedAway:
-      return fellows_->OnSaw(issuer_.IdOf(host), Fellows::Saw::kFull);
-    case LegEnd::kError:
-    case LegEnd::kNotConnected:
-    case LegEnd::kBroken:
-    case LegEnd::kTimedOut:
-      return fellows_->OnSaw(issuer_.IdOf(host), Fellows::Saw::kFailing);
-    case LegEnd::kAbandoned:
-    case LegEnd::kHeldBack:
+    case AttemptEnd::kServed:
+    case AttemptEnd::kSentAway:
+      return peers_->OnSaw(upstream_.IdOf(host), Peers::Saw::kFine);
+    case AttemptEnd::kTurnedAway:
+      return peers_->OnSaw(upstream_.IdOf(host), Peers::Saw::kFull);
+    case AttemptEnd::kError:
+    case AttemptEnd::kNotConnected:
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kTimedOut:
+      return peers_->OnSaw(upstream_.IdOf(host), Peers::Saw::kFailing);
+    case AttemptEnd::kAbandoned:
+    case AttemptEnd::kHeldBack:
       return;  // Says nothing of the host.
   }
 }
 
-void Relay::EndUse(Authorisation& a) {
+void Relay::EndUse(Request& a) {
   if (meter_ != nullptr) meter_->End(a.use);
 }
 
-void Relay::Forget(Authorisation& a) {
+void Relay::Forget(Request& a) {
   EndUse(a);
-  if (fellows_ != nullptr) fellows_->Finish(a.account, a.end);
+  if (peers_ != nullptr) peers_->Finish(a.account, a.end);
   a.deadline.Cancel();
   open_ids_.erase(a.open_id);
-  authorisations_.Erase(a.id);
+  requests_.Erase(a.id);
 }
 
-void Relay::Decline(SlotId authorisation, Micros come_back) {
+void Relay::Reject(SlotId request, Micros come_back) {
   ++counters_.declined;
   std::string line = "BUSY";
   if (come_back.count() > 0) line += ' ' + std::to_string((come_back.count() + 999) / 1000);
-  LogLine(Level::kDebug, "decline").Field("of", authorisation.Packed()).Field("line", line);
-  Answer(authorisation, line + "\r\n");
+  LogLine(Level::kDebug, "decline").Field("of", request.Packed()).Field("line", line);
+  Answer(request, line + "\r\n");
 }
 
-void Relay::Fail(SlotId authorisation) {
+void Relay::Fail(SlotId request) {
   ++counters_.failed;
-  Answer(authorisation, kErrorLine);
+  Answer(request, kErrorLine);
 }
 
-void Relay::Move(SlotId authorisation) {
-  Authorisation* a = authorisations_.Find(authorisation);
-  if (a == nullptr || a->state != Authorisation::State::kStanding) return;
+void Relay::Move(SlotId request) {
+  Request* a = requests_.Find(request);
+  if (a == nullptr || a->state != Request::State::kStanding) return;
   ++counters_.moved;
-  EndStanding(*a, LegEnd::kAbandoned, kMoveLine);
+  EndStanding(*a, AttemptEnd::kAbandoned, kMoveLine);
 }
 
 void Relay::Probe(HostNumber host) {
-  if (fellows_ != nullptr && !fellows_->MayProbe()) {
+  if (peers_ != nullptr && !peers_->MayProbe()) {
     // An answer without a report: the module learns nothing, and may ask again.
     Tell(Probed(host, true, {}));
     return;
   }
-  issuer_.Probe(host);
+  upstream_.Probe(host);
 }
 void Relay::WakeIn(Micros delay) { timers_.Add(*this).deadline.Set(loop_.Now() + delay); }
 void Relay::Watch() { discovery_.Watch(); }
 
 void Relay::OnProbe(HostNumber host, bool ok, std::string_view report) {
-  LogLine(Level::kDebug, "probe").Field("host", issuer_.IdOf(host)).Word("ok", ok).Field("report", report);
+  LogLine(Level::kDebug, "probe").Field("host", upstream_.IdOf(host)).Word("ok", ok).Field("report", report);
   Tell(Probed(host, ok, report));
 }
 
 // ---- the list ----
 
 void Relay::TakeList(const HostList& list, ListSource source) {
-  issuer_.TakeList(list);
-  if (fellows_ != nullptr) NoteList(list);
+  upstream_.TakeList(list);
+  if (peers_ != nullptr) NoteList(list);
   LogLine(Level::kInfo, "list")
       .Field("revision", list.revision)
       .Word("complete", list.complete)
       .Word("changes", !list.complete)
       .Field("entries", list.entries.size());
   Tell(ListOf(
-      list, source, [this](const std::string& id) { return issuer_.NumberOf(id); }, loop_.clock, zones_));
+      list, source, [this](const std::string& id) { return upstream_.NumberOf(id); }, loop_.clock, zones_));
 }
 
 void Relay::NoteList(const HostList& list) {
@@ -387,12 +389,12 @@
     }
     listed_[e.id] = e.up_since_ms;
     if (const Micros at = loop_.clock.FromUnixMs(e.up_since_ms); at.count() > 0)
-      started_at_[issuer_.NumberOf(e.id)] = at;
+      started_at_[upstream_.NumberOf(e.id)] = at;
   }
   std::erase_if(started_at_, [&](const auto& s) {
-    return !listed_.contains(issuer_.IdOf(s.first)) || loop_.Now() >= s.second + site_.module.cold_time;
+    return !listed_.contains(upstream_.IdOf(s.first)) || loop_.Now() >= s.second + site_.module.cold_time;
   });
-  fellows_->OnListed({listed_.begin(), listed_.end()});
+  peers_->OnListed({listed_.begin(), listed_.end()});
 }
 
 void Relay::OnHosts(const HostList& list) { TakeList(list, ListSource::kWatch); }
@@ -400,7 +402,7 @@
   if (!pushed_) Tell(ListFailed());  // Only who asked is told; the watch is renewed in any case.
 }
 
-// ---- authorisations until they stand ----
+// ---- requests until they stand ----
 
 std::size_t Relay::ClassIndex(std::string_view name) const {
   const auto& names = site_.class_names;
@@ -420,27 +422,27 @@
 void Relay::OnNoRoom(const OpenHead& head) {
   const std::size_t k = ClassIndex(head.class_name);
   if (k < counters_.classes.size()) ++counters_.classes[k].declined;
-  if (fellows_ != nullptr && k < counters_.classes.size()) {
-    Fellows::Ticket t = fellows_->Take(k, head.tenant);
-    fellows_->Finish(t, Fellows::End::kRefused);
+  if (peers_ != nullptr && k < counters_.classes.size()) {
+    Peers::Ticket t = peers_->Take(k, head.tenant);
+    peers_->Finish(t, Peers::End::kRefused);
   }
 }
 
-// A client's end may lie unread in the socket, with the leg's coming up in the same turn before it.
-void Relay::OnLegConnected(SlotId owner) {
-  const Authorisation* a = authorisations_.Find(owner);
-  if (Stream* client = a == nullptr ? nullptr : acquirer_.Find(a->client)) client->ReadNow();
+// A client's end may lie unread in the socket, with the attempt's coming up in the same turn before it.
+void Relay::OnAttemptConnected(SlotId owner) {
+  const Request* a = requests_.Find(owner);
+  if (Stream* client = a == nullptr ? nullptr : downstream_.Find(a->client)) client->ReadNow();
 }
 
-void Relay::OnLegSent(SlotId owner) {
-  const Authorisation* a = authorisations_.Find(owner);
+void Relay::OnAttemptSent(SlotId owner) {
+  const Request* a = requests_.Find(owner);
   if (a != nullptr && a->opening.class_index < counters_.classes.size()) {
     ++counters_.classes[a->opening.class_index].forwards;
   }
 }
 
 SlotId Relay::OnOpen(SlotId client, const OpenHead& head) {
-  Authorisation& a = authorisations_.Add(*this);
+  Request& a = requests_.Add(*this);
   const SlotId id = a.id;
   a.client = client;
   a.open_id = head.id;
@@ -455,7 +457,7 @@
   if (site_.shared_work && !head.group.empty()) a.opening.group = arrowhatch::settings::NumberOf(head.group);
   Take(a);
   // A quota binds a connection that comes, not one that stood before this process did.
-  const bool within = fellows_ == nullptr || fellows_->Hold(a.account, a.group) || !head.at.empty();
+  const bool within = peers_ == nullptr || peers_->Hold(a.account, a.group) || !head.at.empty();
   if (!head.at.empty()) {
     ++counters_.resumed;
     a.resume_at = head.at;
@@ -465,7 +467,7 @@
   }
   ++counters_.authorisations;
   if (!within) {
-    Decline(id, std::min(kQuotaAdvice, site_.module.longest_advice));
+    Reject(id, std::min(kQuotaAdvice, site_.module.longest_advice));
     return id;
   }
   Tell(Arrived(id, a.opening));
@@ -474,53 +476,53 @@
 
 // A connection from before the start belongs to its host: there is nothing to decide, and the host may not be
 // in the list yet.
-void Relay::TryResume(Authorisation& a) {
-  const auto host = issuer_.Known(a.resume_at);
+void Relay::TryResume(Request& a) {
+  const auto host = upstream_.Known(a.resume_at);
   if (!host) {
     a.deadline.Set(loop_.Now() + kResumeRetry);
     return;
   }
   a.host = *host;
-  const LegWork work{a.before_wait, a.after_wait, !a.after_wait.empty() || a.opening.deadline > loop_.Now(),
-                     kResumeWait};
-  a.leg = issuer_.Open(a.id, *host, work);
+  const AttemptWork work{a.before_wait, a.after_wait,
+                         !a.after_wait.empty() || a.opening.deadline > loop_.Now(), kResumeWait};
+  a.attempt = upstream_.Open(a.id, *host, work);
 }
 
-void Relay::OnLegUp(SlotId owner, std::string_view line) {
-  Authorisation* a = authorisations_.Find(owner);
+void Relay::OnAttemptUp(SlotId owner, std::string_view line) {
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
   ++counters_.up;
   if (a->opening.class_index < counters_.classes.size())
     ++counters_.classes[a->opening.class_index].succeeded;
-  a->state = Authorisation::State::kStanding;
-  a->end = Fellows::End::kServed;
-  NoteOutcome(a->host, LegEnd::kServed);
+  a->state = Request::State::kStanding;
+  a->end = Peers::End::kServed;
+  NoteOutcome(a->host, AttemptEnd::kServed);
   a->answered_at = loop_.Now();
   a->deadline.Cancel();
   if (meter_ != nullptr) a->use = meter_->Begin(a->group, a->opening.class_index);
-  acquirer_.Up(a->client, line);
+  downstream_.Up(a->client, line);
   if (a->resume_at.empty()) {
-    Tell(LegIsUp(owner, a->host));
+    Tell(AttemptIsUp(owner, a->host));
   } else {
     Tell(Resumed(owner, a->opening, a->host));
   }
-  a = authorisations_.Find(owner);
+  a = requests_.Find(owner);
   if (a == nullptr) return;
   PumpToHost(*a);
   PumpToClient(owner, false);
 }
 
-void Relay::OnLegEnd(SlotId owner, LegEnd end, std::string_view line) {
-  Authorisation* a = authorisations_.Find(owner);
+void Relay::OnAttemptEnd(SlotId owner, AttemptEnd end, std::string_view line) {
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
-  a->leg = {};
+  a->attempt = {};
   LogLine(Level::kDebug, "leg ended")
-      .Field("number", a->legs)
+      .Field("number", a->attempts)
       .Field("of", owner.Packed())
-      .Field("host", issuer_.IdOf(a->host))
+      .Field("host", upstream_.IdOf(a->host))
       .Field("how", static_cast<int>(end));
   if (!a->resume_at.empty()) {
-    if (end != LegEnd::kError && loop_.Now() < a->resume_until) {
+    if (end != AttemptEnd::kError && loop_.Now() < a->resume_until) {
       a->deadline.Set(loop_.Now() + kResumeRetry);
     } else {
       Answer(owner, kErrorLine);
@@ -528,112 +530,112 @@
     return;
   }
   NoteOutcome(a->host, end);
-  const bool finished = end == LegEnd::kServed;  // The host's own word goes to the client as it is.
+  const bool finished = end == AttemptEnd::kServed;  // The host's own word goes to the client as it is.
   const HostNumber host = a->host;
   if (finished) Answer(owner, line);
-  Tell(LegEnded(owner, host, end, finished, SplitWord(Stripped(line)).second));
+  Tell(AttemptEnded(owner, host, end, finished, SplitWord(Stripped(line)).second));
 }
 
 void Relay::OnClientEnd(SlotId owner, StreamEnd end) {
-  Authorisation* a = authorisations_.Find(owner);
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
   const SlotId client = a->client;
-  if (a->state == Authorisation::State::kPending) {
+  if (a->state == Request::State::kPending) {
     ++counters_.client_left;
     const bool resumed = !a->resume_at.empty();
-    const SlotId leg = std::exchange(a->leg, {});
+    const SlotId attempt = std::exchange(a->attempt, {});
     const HostNumber host = a->host;
-    issuer_.Close(leg);
+    upstream_.Close(attempt);
     // A half-closed client may still listen for its one answer.
     if (end == StreamEnd::kFinished) {
-      acquirer_.End(client, kErrorLine);
+      downstream_.End(client, kErrorLine);
     } else {
-      acquirer_.Reset(client);
+      downstream_.Reset(client);
     }
     Forget(*a);
     if (resumed) return;
     Tell(Left(owner));
-    if (leg) Tell(LegEnded(owner, host, LegEnd::kAbandoned, true, {}));
+    if (attempt) Tell(AttemptEnded(owner, host, AttemptEnd::kAbandoned, true, {}));
     return;
   }
-  if (a->state == Authorisation::State::kLeaving) return;
+  if (a->state == Request::State::kLeaving) return;
   ++counters_.client_left;
   PumpToHost(*a);
   if (end == StreamEnd::kReset) {
-    issuer_.Reset(a->leg);
-    acquirer_.Reset(client);
+    upstream_.Reset(a->attempt);
+    downstream_.Reset(client);
     Tell(Left(owner));
-    EndStanding(*a, LegEnd::kAbandoned, {});
+    EndStanding(*a, AttemptEnd::kAbandoned, {});
     return;
   }
-  if (Stream* leg = issuer_.Find(a->leg)) leg->Finish();
+  if (Stream* attempt = upstream_.Find(a->attempt)) attempt->Finish();
   EndUse(*a);  // The client is done, whatever its host still has to say.
-  a->state = Authorisation::State::kLeaving;
+  a->state = Request::State::kLeaving;
   a->deadline.Set(loop_.Now() + kLeaveWait);
   Tell(Left(owner));
 }
 
 // ---- standing connections ----
 
-void Relay::EndStanding(Authorisation& a, LegEnd end, std::string_view last_line) {
+void Relay::EndStanding(Request& a, AttemptEnd end, std::string_view last_line) {
   const SlotId owner = a.id;
-  acquirer_.End(a.client, last_line);
-  issuer_.Close(a.leg);
+  downstream_.End(a.client, last_line);
+  upstream_.Close(a.attempt);
   Forget(a);
-  Tell(LegEnded(owner, a.host, end, true, {}));
+  Tell(AttemptEnded(owner, a.host, end, true, {}));
 }
 
 void Relay::OnClientBytes(SlotId owner) {
-  Authorisation* a = authorisations_.Find(owner);
+  Request* a = requests_.Find(owner);
   // What comes before UP waits in the client's bounded buffer.
-  if (a != nullptr && a->state != Authorisation::State::kPending) PumpToHost(*a);
+  if (a != nullptr && a->state != Request::State::kPending) PumpToHost(*a);
 }
 
-void Relay::OnLegRoom(SlotId owner) {
-  Authorisation* a = authorisations_.Find(owner);
+void Relay::OnAttemptRoom(SlotId owner) {
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
-  if (Stream* client = acquirer_.Find(a->client)) client->SetReading(true);
+  if (Stream* client = downstream_.Find(a->client)) client->SetReading(true);
   PumpToHost(*a);
 }
 
-void Relay::PumpToHost(Authorisation& a) {
-  Stream* client = acquirer_.Find(a.client);
-  Stream* leg = issuer_.Find(a.leg);
-  if (client == nullptr || leg == nullptr || client->In().empty()) return;
-  if (leg->Queued() > Stream::kHighWater) {
+void Relay::PumpToHost(Request& a) {
+  Stream* client = downstream_.Find(a.client);
+  Stream* attempt = upstream_.Find(a.attempt);
+  if (client == nullptr || attempt == nullptr || client->In().empty()) return;
+  if (attempt->Queued() > Stream::kHighWater) {
     client->SetReading(false);
     return;
   }
   const std::string_view in = client->In();
-  leg->Write({in});
+  attempt->Write({in});
   if (a.asked_at.count() == 0 && in.find('\n') != std::string_view::npos) {
     a.asked_at = loop_.Now();
-    if (a.state == Authorisation::State::kStanding) a.deadline.Set(loop_.Now() + kSilence);
+    if (a.state == Request::State::kStanding) a.deadline.Set(loop_.Now() + kSilence);
   }
   client->Consume(in.size());
 }
 
-void Relay::OnLegBytes(SlotId owner) { PumpToClient(owner, false); }
+void Relay::OnAttemptBytes(SlotId owner) { PumpToClient(owner, false); }
 
 void Relay::OnClientRoom(SlotId owner) {
-  Authorisation* a = authorisations_.Find(owner);
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
-  if (Stream* leg = issuer_.Find(a->leg)) leg->SetReading(true);
+  if (Stream* attempt = upstream_.Find(a->attempt)) attempt->SetReading(true);
   PumpToClient(owner, false);
 }
 
 // Only whole lines go on, so that MOVE always falls between two; the part of a line at the very end goes with
 // `all`, and one longer than any line may be goes as it is.
 void Relay::PumpToClient(SlotId owner, bool all) {
-  Authorisation* a = authorisations_.Find(owner);
-  Stream* client = a == nullptr ? nullptr : acquirer_.Find(a->client);
-  Stream* leg = a == nullptr ? nullptr : issuer_.Find(a->leg);
-  if (client == nullptr || leg == nullptr || leg->In().empty()) return;
+  Request* a = requests_.Find(owner);
+  Stream* client = a == nullptr ? nullptr : downstream_.Find(a->client);
+  Stream* attempt = a == nullptr ? nullptr : upstream_.Find(a->attempt);
+  if (client == nullptr || attempt == nullptr || attempt->In().empty()) return;
   if (client->Queued() > Stream::kHighWater && !all) {
-    leg->SetReading(false);
+    attempt->SetReading(false);
     return;
   }
-  const std::string_view in = leg->In();
+  const std::string_view in = attempt->In();
   const std::size_t last = in.rfind('\n');
   std::size_t whole = last == std::string_view::npos ? 0 : last + 1;
   if (all || (whole == 0 && in.size() >= kMaxLine)) whole = in.size();
@@ -645,31 +647,31 @@
     heard.emplace_back(Stripped(left.substr(0, size)));
     left.remove_prefix(size);
   }
-  leg->Consume(whole);
-  if (a->deadline.IsSet() && a->state == Authorisation::State::kStanding) {
+  attempt->Consume(whole);
+  if (a->deadline.IsSet() && a->state == Request::State::kStanding) {
     a->deadline.Set(loop_.Now() + kSilence);
   }
   for (const std::string& line : heard) {
-    a = authorisations_.Find(owner);
+    a = requests_.Find(owner);
     if (a == nullptr) return;
     NoteLine(*a, line);
   }
 }
 
-void Relay::NoteLine(Authorisation& a, std::string_view line) {
+void Relay::NoteLine(Request& a, std::string_view line) {
   const auto [word, rest] = SplitWord(line);
   if (word == "LOAD") {
     if (const auto load = Decimal(rest)) Tell(LoadIs(a.id, *load));
     return;
   }
-  a.last_word = word == "BYE"    ? LegEnd::kServed
-                : word == "MOVE" ? LegEnd::kSentAway
-                : word == "ERR"  ? LegEnd::kError
-                                 : LegEnd::kBroken;
-  if (a.asked_at.count() == 0 || a.last_word != LegEnd::kBroken) return;
+  a.last_word = word == "BYE"    ? AttemptEnd::kServed
+                : word == "MOVE" ? AttemptEnd::kSentAway
+                : word == "ERR"  ? AttemptEnd::kError
+                                 : AttemptEnd::kBroken;
+  if (a.asked_at.count() == 0 || a.last_word != AttemptEnd::kBroken) return;
   const Micros delay = loop_.Now() - std::exchange(a.asked_at, Micros(0));
   a.answered_at = loop_.Now();
-  if (a.state == Authorisation::State::kStanding) a.deadline.Cancel();
+  if (a.state == Request::State::kStanding) a.deadline.Cancel();
   NoteDelay(a.host, delay);
 }
 
@@ -682,45 +684,45 @@
   if (slow ? loop_.Now() < p.told_at + kDelayPeriod : !p.slow) return;
   p.slow = slow;
   p.told_at = loop_.Now();
-  LogLine(Level::kDebug, "slow messages").Field("host", issuer_.IdOf(host)).Field("take_us", delay.count());
+  LogLine(Level::kDebug, "slow messages").Field("host", upstream_.IdOf(host)).Field("take_us", delay.count());
   Tell(MessageTook(host, delay));
 }
 
-void Relay::OnLegFinished(SlotId owner, StreamEnd end) {
+void Relay::OnAttemptFinished(SlotId owner, StreamEnd end) {
   PumpToClient(owner, true);
-  Authorisation* a = authorisations_.Find(owner);
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
-  LegEnd how = a->last_word;
-  if (how == LegEnd::kServed) ++counters_.served;
-  if (how == LegEnd::kSentAway) ++counters_.host_moved;
-  if (how == LegEnd::kBroken && a->state == Authorisation::State::kLeaving) how = LegEnd::kAbandoned;
-  if (how == LegEnd::kBroken) {
+  AttemptEnd how = a->last_word;
+  if (how == AttemptEnd::kServed) ++counters_.served;
+  if (how == AttemptEnd::kSentAway) ++counters_.host_moved;
+  if (how == AttemptEnd::kBroken && a->state == Request::State::kLeaving) how = AttemptEnd::kAbandoned;
+  if (how == AttemptEnd::kBroken) {
     ++counters_.legs_cut;
-    LogLine(Level::kDebug, "cut").Field("host", issuer_.IdOf(a->host));
-    if (end == StreamEnd::kReset) acquirer_.Reset(a->client);
+    LogLine(Level::kDebug, "cut").Field("host", upstream_.IdOf(a->host));
+    if (end == StreamEnd::kReset) downstream_.Reset(a->client);
   }
   EndStanding(*a, how, {});
 }
 
 void Relay::Due(SlotId owner) {
-  Authorisation* a = authorisations_.Find(owner);
+  Request* a = requests_.Find(owner);
   if (a == nullptr) return;
   switch (a->state) {
-    case Authorisation::State::kPending:
+    case Request::State::kPending:
       if (loop_.Now() < a->resume_until) {
         TryResume(*a);
       } else {
         Answer(owner, kErrorLine);
       }
       return;
-    case Authorisation::State::kLeaving:
-      EndStanding(*a, LegEnd::kAbandoned, {});
+    case Request::State::kLeaving:
+      EndStanding(*a, AttemptEnd::kAbandoned, {});
       return;
-    case Authorisation::State::kStanding:
+    case Request::State::kStanding:
       // A machine that vanished says nothing, and its connections stay open for ever.
       ++counters_.silent;
-      LogLine(Level::kInfo, "silent host, its client is moved").Field("host", issuer_.IdOf(a->host));
-      EndStanding(*a, LegEnd::kBroken, kMoveLine);
+      LogLine(Level::kInfo, "silent host, its client is moved").Field("host", upstream_.IdOf(a->host));
+      EndStanding(*a, AttemptEnd::kBroken, kMoveLine);
       return;
   }
 }
@@ -732,32 +734,32 @@
   phase_ = Phase::kTaking;
   plan_step_.Cancel();  // The end moves everyone by itself.
   drain_at_ = loop_.Now();
-  LogLine(Level::kInfo, "draining").Field("authorisations", authorisations_.Size());
+  LogLine(Level::kInfo, "draining").Field("authorisations", requests_.Size());
   drain_.Set(drain_at_);
 }
 
 void Relay::DrainStep() {
   // Clients that still come wait in a queue that the platform holds for the next process, if it does.
-  if (phase_ == Phase::kTaking && (acquirer_.Inherited() || loop_.Now() >= drain_at_ + kTakeFor)) {
-    acquirer_.StopListening();
+  if (phase_ == Phase::kTaking && (downstream_.Inherited() || loop_.Now() >= drain_at_ + kTakeFor)) {
+    downstream_.StopListening();
     phase_ = Phase::kMoving;
   }
   const Micros end = drain_at_ + std::min(site_.longest_deadline, kMostDeadline) + kAfterDeadline;
   const bool closing = loop_.Now() >= std::max(end - kAnsweredBefore, drain_at_ + kTakeFor);
   std::size_t standing = 0;
   std::vector<SlotId> pending;
-  authorisations_.ForEach([&](const Authorisation& a) {
-    if (a.state == Authorisation::State::kStanding) ++standing;
-    if (a.state == Authorisation::State::kPending) pending.push_back(a.id);
+  requests_.ForEach([&](const Request& a) {
+    if (a.state == Request::State::kStanding) ++standing;
+    if (a.state == Request::State::kPending) pending.push_back(a.id);
   });
   if (phase_ == Phase::kMoving) MoveStep(standing, end - kMovedBefore - loop_.Now());
   if (closing) {  // What is unanswered now would be lost with the process.
     for (const SlotId id : pending) Fail(id);
   }
-  acquirer_.EndResting(!closing && authorisations_.Size() > 0);
-  const bool done = phase_ == Phase::kMoving && authorisations_.Size() == 0 && !acquirer_.Asking();
+  downstream_.EndResting(!closing && requests_.Size() > 0);
+  const bool done = phase_ == Phase::kMoving && requests_.Size() == 0 && !downstream_.Asking();
   if (done || loop_.Now() >= end) {
-    LogLine(Level::kInfo, "drained,").Field("left", authorisations_.Size());
+    LogLine(Level::kInfo, "drained,").Field("left", requests_.Size());
     loop_.Stop();
     return;
   }
@@ -765,7 +767,7 @@
 }
 
 void Relay::MoveStep(std::size_t standing, Micros left) {
-  if (acquirer_.Inherited()) {
+  if (downstream_.Inherited()) {
     // The next process serves already: moved clients find it at once, and go from the start, evenly in time,
     // so that it learns of the hosts from the first of them before the rest come.
     MoveQuietest(drain::EvenShare(standing, left, kMoveStep, move_carry_));
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -15,23 +15,23 @@
 #include "arrowhatch/balancer.h"
 #include "base/counters.h"
 #include "base/deadlines.h"
-#include "base/fellows.h"
 #include "base/meter.h"
+#include "base/peers.h"
 #include "base/slots.h"
 #include "drain/plan.h"
-#include "net/acquirer.h"
 #include "net/config.h"
 #include "net/discovery.h"
-#include "net/issuer.h"
+#include "net/downstream.h"
 #include "net/terms.h"
+#include "net/upstream.h"
 
 namespace stoatrun {
 
-class Relay : private AcquirerEvents, private IssuerEvents, private DiscoveryEvents, private Orders {
+class Relay : private DownstreamEvents, private UpstreamEvents, private DiscoveryEvents, private Orders {
  public:
-  // `meter`: told of standing connections; outlives the relay; null: nobody is. `fellows`: the rest of the
+  // `meter`: told of standing connections; outlives the relay; null: nobody is. `peers`: the rest of the
   // fleet, likewise.
-  Relay(Loop& loop, const Config& config, Meter* meter = nullptr, Fellows* fellows = nullptr);
+  Relay(Loop& loop, const Config& config, Meter* meter = nullptr, Peers* peers = nullptr);
 
   void Start();  // Throws std::system_error if the address can't be had.
   // A planned end: still takes and answers for a while, then moves all standing clients and stops the loop.
@@ -45,35 +45,35 @@
   void Activate();
   // Can this process serve, and may the front send clients here?
   bool Ready() const;
-  int Port() const { return acquirer_.Port(); }
+  int Port() const { return downstream_.Port(); }
   const Counters& Counts() const { return counters_; }
   const std::vector<std::string>& ClassNames() const { return site_.class_names; }
-  std::size_t Outstanding() const { return authorisations_.Size(); }  // Taken and not ended.
-  std::size_t Discovered() const { return issuer_.Listed(); }
+  std::size_t Outstanding() const { return requests_.Size(); }  // Taken and not ended.
+  std::size_t Discovered() const { return upstream_.Listed(); }
   std::size_t Ejected() const { return balancer_.avoided(loop_.Now()); }
 
  private:
-  struct Authorisation {
-    Authorisation(SlotId slot, Relay& all)
+  struct Request {
+    Request(SlotId slot, Relay& all)
         : id(slot), deadline(all.loop_.deadlines, [&all, slot] { all.Due(slot); }) {}
     enum class State { kPending, kStanding, kLeaving };  // Leaving: its client has ended its sending.
-    SlotId id, client, leg;
+    SlotId id, client, attempt;
     Deadline deadline;
     State state = State::kPending;
     HostNumber host = 0;
     Opening opening;
-    std::string_view before_wait, after_wait;  // Of the client's line, there until the leg is up.
+    std::string_view before_wait, after_wait;  // Of the client's line, there until the attempt is up.
     std::string open_id;                       // As its client named it.
     std::string resume_at;                     // The host that holds the connection already.
     Micros resume_until{0};
-    std::uint32_t legs = 0;
+    std::uint32_t attempts = 0;
     Micros asked_at{0};     // When the oldest client line without an answer went on; 0: none.
-    Micros answered_at{0};  // When the host's last answer went to the client, or the leg came up.
-    LegEnd last_word = LegEnd::kBroken;
+    Micros answered_at{0};  // When the host's last answer went to the client, or the attempt came up.
+    AttemptEnd last_word = AttemptEnd::kBroken;
     std::string_view group;  // Of the client's line, as `before_wait`.
     Ticket use;
-    Fellows::Ticket account;
-    Fellows::End end = Fellows::End::kFailed;  // As it would be booked now.
+    Peers::Ticket account;
+    Peers::End end = Peers::End::kFailed;  // As it would be booked now.
   };
   struct Pace {  // What a host's messages took.
     Micros told_at{0};
@@ -88,31 +88,31 @@
     Deadline deadline;
   };
 
-  // AcquirerEvents
+  // DownstreamEvents
   std::string_view Objection(const OpenHead& head) override;
   SlotId OnOpen(SlotId client, const OpenHead& head) override;
   void OnClientBytes(SlotId owner) override;
   void OnClientEnd(SlotId owner, StreamEnd end) override;
   void OnClientRoom(SlotId owner) override;
   void OnNoRoom(const OpenHead& head) override;
-  // IssuerEvents
-  void OnLegUp(SlotId owner, std::string_view line) override;
-  void OnLegConnected(SlotId owner) override;
-  void OnLegSent(SlotId owner) override;
-  void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) override;
-  void OnLegBytes(SlotId owner) override;
-  void OnLegFinished(SlotId owner, StreamEnd end) override;
-  void OnLegRoom(SlotId owner) override;
+  // UpstreamEvents
+  void OnAttemptUp(SlotId owner, std::string_view line) override;
+  void OnAttemptConnected(SlotId owner) override;
+  void OnAttemptSent(SlotId owner) override;
+  void OnAttemptEnd(SlotId owner, AttemptEnd end, std::string_view line) override;
+  void OnAttemptBytes(SlotId owner) override;
+  void OnAttemptFinished(SlotId owner, StreamEnd end) override;
+  void OnAttemptRoom(SlotId owner) override;
   void OnProbe(HostNumber host, bool ok, std::string_view report) override;
   // DiscoveryEvents
   void OnHosts(const HostList& list) override;
   void OnWatchFailed() override;
   // Orders
-  void OpenLeg(SlotId authorisation, HostNumber host, Micros wait) override;
-  void AbandonLeg(SlotId authorisation, std::uint32_t leg_number) override;
-  void Decline(SlotId authorisation, Micros come_back) override;
-  void Fail(SlotId authorisation) override;
-  void Move(SlotId authorisation) override;
+  void OpenAttempt(SlotId request, HostNumber host, Micros wait) override;
+  void AbandonAttempt(SlotId request, std::uint32_t attempt_number) override;
+  void Reject(SlotId request, Micros come_back) override;
+  void Fail(SlotId request) override;
+  void Move(SlotId request) override;
   void Probe(HostNumber host) override;
   void WakeIn(Micros delay) override;
   void Watch() override;
@@ -120,20 +120,20 @@
   void Tell(arrowhatch::Event event);
   void TakeList(const HostList& list, ListSource source);
   void NoteList(const HostList& list);
-  void TryResume(Authorisation& a);
-  void Answer(SlotId authorisation, std::string_view line);
-  void Take(Authorisation& a);
-  // Whether the fleet's budgets allow this leg; if not, the module has been told.
-  bool FleetAllows(Authorisation& a, HostNumber host);
-  void AskFellows();
-  void NoteOutcome(HostNumber host, LegEnd end);
-  void Forget(Authorisation& a);
-  void EndUse(Authorisation& a);
+  void TryResume(Request& a);
+  void Answer(SlotId request, std::string_view line);
+  void Take(Request& a);
+  // Whether the fleet's budgets allow this attempt; if not, the module has been told.
+  bool FleetAllows(Request& a, HostNumber host);
+  void AskPeers();
+  void NoteOutcome(HostNumber host, AttemptEnd end);
+  void Forget(Request& a);
+  void EndUse(Request& a);
   // Ends a standing connection: both sides are closed and the module is told how.
-  void EndStanding(Authorisation& a, LegEnd end, std::string_view last_line);
-  void PumpToHost(Authorisation& a);
+  void EndStanding(Request& a, AttemptEnd end, std::string_view last_line);
+  void PumpToHost(Request& a);
   void PumpToClient(SlotId owner, bool all);
-  void NoteLine(Authorisation& a, std::string_view line);
+  void NoteLine(Request& a, std::string_view line);
   void NoteDelay(HostNumber host, Micros delay);
   void Due(SlotId owner);
   void DrainStep();
@@ -145,18 +145,18 @@
 
   Loop& loop_;
   Meter* const meter_;
-  Fellows* const fellows_;
+  Peers* const peers_;
   const Config start_;  // As the relay was started.
   const arrowhatch::settings::SiteSettings& site_;
   std::vector<std::string> zones_;
   Micros slow_message_{0};  // A message over this is told; 0: never.
   Counters counters_;
   arrowhatch::Balancer balancer_;
-  Acquirer acquirer_;
-  Issuer issuer_;
+  Downstream downstream_;
+  Upstream upstream_;
   const bool pushed_;  // Lists come unasked.
   Discovery discovery_;
-  Slots<Authorisation> authorisations_;
+  Slots<Request> requests_;
   std::unordered_set<std::string> open_ids_;
   Slots<Timer> timers_;
   std::vector<Pace> paces_;
@@ -171,7 +171,7 @@
   bool started_ = false;
   std::map<std::string, std::int64_t> listed_;  // Hosts that may be used, for the fleet; and their starts.
   std::map<HostNumber, Micros> started_at_;     // Hosts that may be cold: when their processes started.
-  Deadline ask_fellows_;
+  Deadline ask_peers_;
   drain::Plan plan_;  // The operators' drain, which is not the end of the process.
   Deadline plan_step_;
 };
--- a/src/net/terms.cpp
+++ b/src/net/terms.cpp
@@ -9,29 +9,29 @@
 
 namespace ah = arrowhatch;
 
-ah::RequestId RequestOf(SlotId authorisation) { return ah::RequestId(authorisation.Packed()); }
-SlotId AuthorisationOf(ah::RequestId id) { return SlotId::Unpack(static_cast<std::uint64_t>(id)); }
+ah::RequestId RequestOf(SlotId request) { return ah::RequestId(request.Packed()); }
+SlotId SlotOf(ah::RequestId id) { return SlotId::Unpack(static_cast<std::uint64_t>(id)); }
 ah::ServerId ServerOf(HostNumber host) { return ah::ServerId(host); }
 HostNumber HostOf(ah::ServerId id) { return static_cast<HostNumber>(id); }
 
-ah::Outcome OutcomeOf(LegEnd end) {
+ah::Outcome OutcomeOf(AttemptEnd end) {
   switch (end) {
-    case LegEnd::kServed:
+    case AttemptEnd::kServed:
       return ah::Outcome::kServed;
-    case LegEnd::kError:
+    case AttemptEnd::kError:
       return ah::Outcome::kError;
-    case LegEnd::kTurnedAway:
+    case AttemptEnd::kTurnedAway:
       return ah::Outcome::kTurnedAway;
-    case LegEnd::kNotConnected:
+    case AttemptEnd::kNotConnected:
       return ah::Outcome::kNotConnected;
-    case LegEnd::kBroken:
+    case AttemptEnd::kBroken:
       return ah::Outcome::kCut;
-    case LegEnd::kTimedOut:
+    case AttemptEnd::kTimedOut:
       return ah::Outcome::kTimedOut;
-    case LegEnd::kSentAway:
-    case LegEnd::kAbandoned:
+    case AttemptEnd::kSentAway:
+    case AttemptEnd::kAbandoned:
       return ah::Outcome::kCancelled;
-    case LegEnd::kHeldBack:
+    case AttemptEnd::kHeldBack:
       return ah::Outcome::kNotSent;
   }
   return ah::Outcome::kUnknown;
@@ -46,9 +46,9 @@
   return report;
 }
 
-ah::RequestArrived RequestArrivedOf(SlotId authorisation, const Opening& opening) {
+ah::RequestArrived RequestArrivedOf(SlotId request, const Opening& opening) {
   ah::RequestArrived e;
-  e.id = RequestOf(authorisation);
+  e.id = RequestOf(request);
   e.class_id = ah::ClassId(static_cast<std::uint32_t>(opening.class_index));
   e.deadline = opening.deadline;
   e.load_hint = opening.load;
@@ -66,12 +66,12 @@
 struct Visitor {
   Orders& orders;
   void operator()(const ah::SendAttempt& a) const {
-    orders.OpenLeg(AuthorisationOf(a.id), HostOf(a.server), a.timeout);
+    orders.OpenAttempt(SlotOf(a.id), HostOf(a.server), a.timeout);
   }
-  void operator()(const ah::CancelAttempt& a) const { orders.AbandonLeg(AuthorisationOf(a.id), a.attempt); }
-  void operator()(const ah::RefuseRequest& a) const { orders.Decline(AuthorisationOf(a.id), a.come_back); }
-  void operator()(const ah::FailRequest& a) const { orders.Fail(AuthorisationOf(a.id)); }
-  void operator()(const ah::MoveClient& a) const { orders.Move(AuthorisationOf(a.id)); }
+  void operator()(const ah::CancelAttempt& a) const { orders.AbandonAttempt(SlotOf(a.id), a.attempt); }
+  void operator()(const ah::RefuseRequest& a) const { orders.Reject(SlotOf(a.id), a.come_back); }
+  void operator()(const ah::FailRequest& a) const { orders.Fail(SlotOf(a.id)); }
+  void operator()(const ah::MoveClient& a) const { orders.Move(SlotOf(a.id)); }
   void operator()(const ah::ProbeServer& a) const { orders.Probe(HostOf(a.server)); }
   void operator()(const ah::StartTimer& a) const { orders.WakeIn(a.delay); }
   void operator()(const ah::WatchServers& /*a*/) const { orders.Watch(); }
@@ -81,25 +81,22 @@
 
 void CarryOut(const ah::Action& action, Orders& orders) { std::visit(Visitor{orders}, action); }
 
-ah::Event Arrived(SlotId authorisation, const Opening& opening) {
-  return RequestArrivedOf(authorisation, opening);
-}
+ah::Event Arrived(SlotId request, const Opening& opening) { return RequestArrivedOf(request, opening); }
 
-ah::Event Resumed(SlotId authorisation, const Opening& opening, HostNumber host) {
-  return ah::ConnectionResumed{RequestArrivedOf(authorisation, opening), ServerOf(host)};
+ah::Event Resumed(SlotId request, const Opening& opening, HostNumber host) {
+  return ah::ConnectionResumed{RequestArrivedOf(request, opening), ServerOf(host)};
 }
 
-ah::Event LegIsUp(SlotId authorisation, HostNumber host) {
-  return ah::AttemptEstablished{RequestOf(authorisation), ServerOf(host)};
+ah::Event AttemptIsUp(SlotId request, HostNumber host) {
+  return ah::AttemptEstablished{RequestOf(request), ServerOf(host)};
 }
 
-ah::Event LegEnded(SlotId authorisation, HostNumber host, LegEnd end, bool finished,
-                   std::string_view report) {
-  return ah::AttemptEnded{RequestOf(authorisation), ServerOf(host), OutcomeOf(end), finished,
-                          ReportOf(report)};
+ah::Event AttemptEnded(SlotId request, HostNumber host, AttemptEnd end, bool finished,
+                       std::string_view report) {
+  return ah::AttemptEnded{RequestOf(request), ServerOf(host), OutcomeOf(end), finished, ReportOf(report)};
 }
 
-ah::Event LoadIs(SlotId authorisation, double load) { return ah::LoadTold{RequestOf(authorisation), load}; }
+ah::Event LoadIs(SlotId request, double load) { return ah::LoadTold{RequestOf(request), load}; }
 
 ah::Event MessageTook(HostNumber host, Micros delay) { return ah::DelayTold{ServerOf(host), delay}; }
 
@@ -107,7 +104,7 @@
   return ah::ProbeAnswered{ServerOf(host), ok, ReportOf(report)};
 }
 
-ah::Event Left(SlotId authorisation) { return ah::ClientLeft{RequestOf(authorisation)}; }
+ah::Event Left(SlotId request) { return ah::ClientLeft{RequestOf(request)}; }
 
 ah::Event PeersSay(HostNumber host, double unseen, double cold, bool avoid) {
   return ah::PeersTold{ServerOf(host), unseen, cold, avoid};
--- a/src/net/terms.h
+++ b/src/net/terms.h
@@ -1,5 +1,5 @@
-// The one place where the module's names meet the shop's: request - authorisation, server - issuer host,
-// attempt - leg, refusal - decline.
+// The one place where the module's names meet the sockets': ids by slots, servers by numbers,
+// outcomes by how an attempt ended, actions as orders.
 #ifndef STOATRUN_NET_TERMS_H_
 #define STOATRUN_NET_TERMS_H_
 
@@ -14,7 +14,7 @@
 #include "base/clock.h"
 #include "base/slots.h"
 #include "net/hosts.h"
-#include "net/issuer.h"
+#include "net/upstream.h"
 #include "settings/settings.h"
 
 namespace stoatrun {
@@ -23,11 +23,11 @@
 class Orders {
  public:
   virtual ~Orders() = default;
-  virtual void OpenLeg(SlotId authorisation, HostNumber host, Micros wait) = 0;
-  virtual void AbandonLeg(SlotId authorisation, std::uint32_t leg_number) = 0;
-  virtual void Decline(SlotId authorisation, Micros come_back) = 0;
-  virtual void Fail(SlotId authorisation) = 0;
-  virtual void Move(SlotId authorisation) = 0;
+  virtual void OpenAttempt(SlotId request, HostNumber host, Micros wait) = 0;
+  virtual void AbandonAttempt(SlotId request, std::uint32_t attempt_number) = 0;
+  virtual void Reject(SlotId request, Micros come_back) = 0;
+  virtual void Fail(SlotId request) = 0;
+  virtual void Move(SlotId request) = 0;
   virtual void Probe(HostNumber host) = 0;
   virtual void WakeIn(Micros delay) = 0;
   virtual void Watch() = 0;
@@ -35,7 +35,7 @@
 
 void CarryOut(const arrowhatch::Action& action, Orders& orders);
 
-struct Opening {  // What the module hears of a new authorisation.
+struct Opening {  // What the module hears of a new request.
   std::size_t class_index = 0;
   Micros deadline{0};
   std::optional<double> load;
@@ -43,16 +43,16 @@
   std::uint64_t group = 0;  // Of those that share work at a host; 0: none.
 };
 
-arrowhatch::Event Arrived(SlotId authorisation, const Opening& opening);
-arrowhatch::Event Resumed(SlotId authorisation, const Opening& opening, HostNumber host);
-arrowhatch::Event LegIsUp(SlotId authorisation, HostNumber host);
+arrowhatch::Event Arrived(SlotId request, const Opening& opening);
+arrowhatch::Event Resumed(SlotId request, const Opening& opening, HostNumber host);
+arrowhatch::Event AttemptIsUp(SlotId request, HostNumber host);
 // `report` is what followed the host's word, where reports come with answers.
-arrowhatch::Event LegEnded(SlotId authorisation, HostNumber host, LegEnd end, bool finished,
-                           std::string_view report);
-arrowhatch::Event LoadIs(SlotId authorisation, double load);
+arrowhatch::Event AttemptEnded(SlotId request, HostNumber host, AttemptEnd end, bool finished,
+                               std::string_view report);
+arrowhatch::Event LoadIs(SlotId request, double load);
 arrowhatch::Event MessageTook(HostNumber host, Micros delay);
 arrowhatch::Event Probed(HostNumber host, bool ok, std::string_view report);
-arrowhatch::Event Left(SlotId authorisation);
+arrowhatch::Event Left(SlotId request);
 // What the rest of the fleet says of a host: connections that no report shows yet, how many it may still be
 // sent while it is cold (under 0: not known), and whether to avoid it for a while.
 arrowhatch::Event PeersSay(HostNumber host, double unseen, double cold, bool avoid);
--- a/src/net/issuer.cpp
+++ b/src/net/upstream.cpp
@@ -1,4 +1,4 @@
-#include "net/issuer.h"
+#include "net/upstream.h"
 
 #include <algorithm>
 #include <array>
@@ -14,22 +14,22 @@
 constexpr Micros kProbeWait = std::chrono::milliseconds(300);  // A figure later than this misleads a landing.
 constexpr double kIdlePart = 0.8;  // Of the host's idle time: we end an idle connection before the host does.
 constexpr double kDrainPart = 0.6;  // Of the grace after a drain was told; the rest is for a busy machine.
-// Idle connections kept for further probes: with the acquirer's few they stay within what it leaves for
+// Idle connections kept for further probes: with the downstream's few they stay within what it leaves for
 // others, however many hosts are listed.
 constexpr std::size_t kMostIdle = 32;
 constexpr Micros kStepWait = Micros(1);  // The next step of the loop.
 
 // What the first word of a host's first line means.
-LegEnd MeaningOf(std::string_view word) {
-  if (word == "BUSY") return LegEnd::kTurnedAway;
-  if (word == "BYE") return LegEnd::kServed;
-  if (word == "MOVE") return LegEnd::kSentAway;
-  return LegEnd::kError;
+AttemptEnd MeaningOf(std::string_view word) {
+  if (word == "BUSY") return AttemptEnd::kTurnedAway;
+  if (word == "BYE") return AttemptEnd::kServed;
+  if (word == "MOVE") return AttemptEnd::kSentAway;
+  return AttemptEnd::kError;
 }
 
 }  // namespace
 
-Issuer::Issuer(Loop& loop, IssuerEvents& events, Counters& counters, const Times& times)
+Upstream::Upstream(Loop& loop, UpstreamEvents& events, Counters& counters, const Times& times)
     : loop_(loop), events_(events), counters_(counters), times_(times) {
   loop_.AddSweeper([this] {
     links_.Sweep();
@@ -37,7 +37,7 @@
   });
 }
 
-HostNumber Issuer::NumberOf(const std::string& id) {
+HostNumber Upstream::NumberOf(const std::string& id) {
   const auto [it, fresh] = numbers_.try_emplace(id, static_cast<HostNumber>(hosts_.size()));
   if (fresh) {
     hosts_.emplace_back();
@@ -46,12 +46,12 @@
   return it->second;
 }
 
-std::optional<HostNumber> Issuer::Known(const std::string& id) const {
+std::optional<HostNumber> Upstream::Known(const std::string& id) const {
   const auto it = numbers_.find(id);
   return it == numbers_.end() ? std::nullopt : std::optional(it->second);
 }
 
-void Issuer::TakeList(const HostList& list) {
+void Upstream::TakeList(const HostList& list) {
   std::vector<bool> named(hosts_.size() + list.entries.size());
   for (const HostEntry& e : list.entries) {
     const HostNumber n = NumberOf(e.id);
@@ -66,7 +66,7 @@
     if (h.phase == HostPhase::kReady) {
       h.watched_drain = false;
     } else if (!h.watched_drain) {
-      // Guards the rule of careful drains: a leg that still connects would send its first byte too late.
+      // Guards the rule of careful drains: an attempt that still connects would send its first byte too late.
       h.watched_drain = true;
       const auto grace =
           Micros(static_cast<std::int64_t>(static_cast<double>(times_.stop_sending.count()) * kDrainPart));
@@ -75,12 +75,12 @@
   }
 }
 
-std::size_t Issuer::Listed() const {
+std::size_t Upstream::Listed() const {
   return static_cast<std::size_t>(
       std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.phase != HostPhase::kGone; }));
 }
 
-void Issuer::StopSending(HostNumber host) {
+void Upstream::StopSending(HostNumber host) {
   if (hosts_[host].phase == HostPhase::kReady) return;
   std::vector<SlotId> late;
   links_.ForEach([&](Link& l) {
@@ -92,28 +92,28 @@
     if (l->probe) {
       EndProbe(*l, false, {}, false);
     } else {
-      EndLeg(*l, LegEnd::kNotConnected, {});
+      EndAttempt(*l, AttemptEnd::kNotConnected, {});
     }
   }
 }
 
-SlotId Issuer::Open(SlotId owner, HostNumber host, const LegWork& work) {
+SlotId Upstream::Open(SlotId owner, HostNumber host, const AttemptWork& work) {
   ++counters_.legs;
-  Link& leg = links_.Add(*this, host, false);
-  leg.owner = owner;
-  leg.work = work;
-  leg.give_up = loop_.Now() + std::max(work.wait, Micros(0));
-  Start(leg);
-  return leg.id;
+  Link& attempt = links_.Add(*this, host, false);
+  attempt.owner = owner;
+  attempt.work = work;
+  attempt.give_up = loop_.Now() + std::max(work.wait, Micros(0));
+  Start(attempt);
+  return attempt.id;
 }
 
-void Issuer::Start(Link& link) {
+void Upstream::Start(Link& link) {
   const Host& h = hosts_[link.host];
   const bool begun = h.address && link.stream.Connect(*h.address);
   link.deadline.Set(begun ? std::min(link.give_up, loop_.Now() + times_.connect) : loop_.Now() + kStepWait);
 }
 
-void Issuer::Probe(HostNumber host) {
+void Upstream::Probe(HostNumber host) {
   ++counters_.probes;
   Host& h = hosts_[host];
   Link* link = links_.Find(h.idle_probe);
@@ -131,45 +131,45 @@
   Start(fresh);
 }
 
-Stream* Issuer::Find(SlotId leg) {
-  Link* l = links_.Find(leg);
+Stream* Upstream::Find(SlotId attempt) {
+  Link* l = links_.Find(attempt);
   return l == nullptr ? nullptr : &l->stream;
 }
 
-void Issuer::Close(SlotId leg) {
-  Link* l = links_.Find(leg);
+void Upstream::Close(SlotId attempt) {
+  Link* l = links_.Find(attempt);
   if (l == nullptr) return;
   l->stream.Close();
   l->deadline.Cancel();
-  links_.Erase(leg);
+  links_.Erase(attempt);
 }
 
-void Issuer::Reset(SlotId leg) {
-  Link* l = links_.Find(leg);
+void Upstream::Reset(SlotId attempt) {
+  Link* l = links_.Find(attempt);
   if (l == nullptr) return;
   l->stream.Reset();
-  Close(leg);
+  Close(attempt);
 }
 
-void Issuer::EndLeg(Link& leg, LegEnd end, std::string_view line) {
-  const SlotId owner = leg.owner;
-  if (end == LegEnd::kNotConnected) ++counters_.legs_not_connected;
-  if (end == LegEnd::kBroken) ++counters_.legs_cut;
-  if (end == LegEnd::kTimedOut) ++counters_.legs_timed_out;
-  if (end == LegEnd::kTurnedAway) ++counters_.legs_turned_away;
-  if (end == LegEnd::kError) ++counters_.legs_error;
-  const std::string said(line);  // Its buffer goes with the leg.
-  // Closed before it is told: what follows may open the next leg, and two must never be out.
-  Close(leg.id);
-  events_.OnLegEnd(owner, end, said);
+void Upstream::EndAttempt(Link& attempt, AttemptEnd end, std::string_view line) {
+  const SlotId owner = attempt.owner;
+  if (end == AttemptEnd::kNotConnected) ++counters_.legs_not_connected;
+  if (end == AttemptEnd::kBroken) ++counters_.legs_cut;
+  if (end == AttemptEnd::kTimedOut) ++counters_.legs_timed_out;
+  if (end == AttemptEnd::kTurnedAway) ++counters_.legs_turned_away;
+  if (end == AttemptEnd::kError) ++counters_.legs_error;
+  const std::string said(line);  // Its buffer goes with the attempt.
+  // Closed before it is told: what follows may open the next attempt, and two must never be out.
+  Close(attempt.id);
+  events_.OnAttemptEnd(owner, end, said);
 }
 
-std::size_t Issuer::Idle() const {
+std::size_t Upstream::Idle() const {
   return static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [](const Host& h) { return static_cast<bool>(h.idle_probe); }));
 }
 
-void Issuer::EndProbe(Link& link, bool ok, std::string_view report, bool keep) {
+void Upstream::EndProbe(Link& link, bool ok, std::string_view report, bool keep) {
   const HostNumber host = link.host;
   const bool told = !(link.probe && link.up);  // An idle connection owes no answer.
   Host& h = hosts_[host];
@@ -189,24 +189,24 @@
   events_.OnProbe(host, ok, said);
 }
 
-void Issuer::Due(SlotId id) {
+void Upstream::Due(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   if (l->probe) {
     EndProbe(*l, false, {}, false);
   } else if (!l->up) {
     // What was never written whole has never run, whatever the reason for which the wait ended.
-    EndLeg(*l, l->sent ? LegEnd::kTimedOut : LegEnd::kNotConnected, {});
+    EndAttempt(*l, l->sent ? AttemptEnd::kTimedOut : AttemptEnd::kNotConnected, {});
   }
 }
 
-void Issuer::OnConnected(SlotId id) {
+void Upstream::OnConnected(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   if (!l->probe) {
     // In one turn with the end of its time, or with its client's: nothing of it has run, and nothing shall.
-    if (loop_.Now() >= l->give_up) return EndLeg(*l, LegEnd::kNotConnected, {});
-    events_.OnLegConnected(l->owner);
+    if (loop_.Now() >= l->give_up) return EndAttempt(*l, AttemptEnd::kNotConnected, {});
+    events_.OnAttemptConnected(l->owner);
     l = links_.Find(id);
     if (l == nullptr) return;
   }
@@ -226,51 +226,51 @@
   if (l->stream.Queued() == 0 && !l->stream.IsBroken()) Sent(*l);
 }
 
-void Issuer::Sent(Link& link) {
+void Upstream::Sent(Link& link) {
   if (std::exchange(link.sent, true) || link.probe) return;
-  events_.OnLegSent(link.owner);
+  events_.OnAttemptSent(link.owner);
 }
 
-void Issuer::OnRoom(SlotId id) {
+void Upstream::OnRoom(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   Sent(*l);
-  if (!l->probe && l->up) events_.OnLegRoom(l->owner);
+  if (!l->probe && l->up) events_.OnAttemptRoom(l->owner);
 }
 
-void Issuer::OnBytes(SlotId id) {
+void Upstream::OnBytes(SlotId id) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   if (l->probe) {
     ReadProbe(*l);
   } else if (l->up) {
-    events_.OnLegBytes(l->owner);
+    events_.OnAttemptBytes(l->owner);
   } else {
-    ReadLeg(*l);
+    ReadAttempt(*l);
   }
 }
 
-void Issuer::ReadLeg(Link& leg) {
-  const std::string_view in = leg.stream.In();
+void Upstream::ReadAttempt(Link& attempt) {
+  const std::string_view in = attempt.stream.In();
   const auto size = LineLength(in);
   if (!size) {
-    if (in.size() >= kMaxLine) EndLeg(leg, LegEnd::kError, {});
+    if (in.size() >= kMaxLine) EndAttempt(attempt, AttemptEnd::kError, {});
     return;
   }
   const std::string_view line = in.substr(0, *size);
   const std::string_view word = SplitWord(Stripped(line)).first;
   if (word != "UP") {
-    EndLeg(leg, MeaningOf(word), line);
+    EndAttempt(attempt, MeaningOf(word), line);
     return;
   }
-  leg.up = true;
-  leg.deadline.Cancel();
+  attempt.up = true;
+  attempt.deadline.Cancel();
   const std::string said(line);
-  leg.stream.Consume(*size);
-  events_.OnLegUp(leg.owner, said);
+  attempt.stream.Consume(*size);
+  events_.OnAttemptUp(attempt.owner, said);
 }
 
-void Issuer::ReadProbe(Link& link) {
+void Upstream::ReadProbe(Link& link) {
   const std::string_view in = link.stream.In();
   const auto size = LineLength(in);
   if (!size) {
@@ -282,7 +282,7 @@
   EndProbe(link, ok, report, ok);
 }
 
-void Issuer::OnEnd(SlotId id, StreamEnd end) {
+void Upstream::OnEnd(SlotId id, StreamEnd end) {
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   if (l->probe && l->reused && !l->up && l->stream.In().empty() &&
@@ -295,9 +295,9 @@
   } else if (l->probe) {
     EndProbe(*l, false, {}, false);
   } else if (l->up) {
-    events_.OnLegFinished(l->owner, end);
+    events_.OnAttemptFinished(l->owner, end);
   } else {
-    EndLeg(*l, l->sent ? LegEnd::kBroken : LegEnd::kNotConnected, {});
+    EndAttempt(*l, l->sent ? AttemptEnd::kBroken : AttemptEnd::kNotConnected, {});
   }
 }
 
--- a/src/net/issuer.h
+++ b/src/net/upstream.h
@@ -1,6 +1,6 @@
-// The issuer side: the hosts by number, legs (one attempt each, with a connection of its own) and probes.
-#ifndef STOATRUN_NET_ISSUER_H_
-#define STOATRUN_NET_ISSUER_H_
+// The upstream side: the hosts by number, attempts (each with a connection of its own) and probes.
+#ifndef STOATRUN_NET_UPSTREAM_H_
+#define STOATRUN_NET_UPSTREAM_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -21,9 +21,9 @@
 
 using HostNumber = std::uint32_t;
 
-// How a leg ended before it was up: one name for each row of the protocol's outcome table, and one for a leg
-// that was never begun, as a budget of the whole fleet did not allow it.
-enum class LegEnd {
+// How an attempt ended before it was up: one name for each row of the protocol's outcome table, and one for
+// an attempt that was never begun, as a budget of the whole fleet did not allow it.
+enum class AttemptEnd {
   kServed,
   kSentAway,
   kError,
@@ -35,31 +35,31 @@
   kHeldBack
 };
 
-struct LegWork {
-  std::string_view before_wait, after_wait;  // Of the client's line, which outlives the leg's set-up.
+struct AttemptWork {
+  std::string_view before_wait, after_wait;  // Of the client's line, which outlives the attempt's set-up.
   bool tells_wait = true;
   Micros wait{0};
 };
 
-class IssuerEvents {
+class UpstreamEvents {
  public:
-  virtual ~IssuerEvents() = default;
-  // A leg is named by the number its opener gave. `line` is what the host said, with its end; empty where it
-  // said nothing.
-  virtual void OnLegUp(SlotId owner, std::string_view line) = 0;
-  // The connection is up and nothing is sent yet: the last moment in which the opener may close the leg.
-  virtual void OnLegConnected(SlotId /*owner*/) {}
+  virtual ~UpstreamEvents() = default;
+  // An attempt is named by the number its opener gave. `line` is what the host said, with its end; empty
+  // where it said nothing.
+  virtual void OnAttemptUp(SlotId owner, std::string_view line) = 0;
+  // The connection is up and nothing is sent yet: the last moment in which the opener may close the attempt.
+  virtual void OnAttemptConnected(SlotId /*owner*/) {}
   // The first line's last byte is with the socket: the attempt counts at its host from here on.
-  virtual void OnLegSent(SlotId /*owner*/) {}
-  virtual void OnLegEnd(SlotId owner, LegEnd end, std::string_view line) = 0;
-  // Of a leg that is up.
-  virtual void OnLegBytes(SlotId owner) = 0;
-  virtual void OnLegFinished(SlotId owner, StreamEnd end) = 0;
-  virtual void OnLegRoom(SlotId owner) = 0;
+  virtual void OnAttemptSent(SlotId /*owner*/) {}
+  virtual void OnAttemptEnd(SlotId owner, AttemptEnd end, std::string_view line) = 0;
+  // Of an attempt that is up.
+  virtual void OnAttemptBytes(SlotId owner) = 0;
+  virtual void OnAttemptFinished(SlotId owner, StreamEnd end) = 0;
+  virtual void OnAttemptRoom(SlotId owner) = 0;
   virtual void OnProbe(HostNumber host, bool ok, std::string_view report) = 0;
 };
 
-class Issuer : public StreamHandler {
+class Upstream : public StreamHandler {
  public:
   struct Times {
     Micros connect{250'000};
@@ -67,7 +67,7 @@
     Micros stop_sending{250'000};
   };
 
-  Issuer(Loop& loop, IssuerEvents& events, Counters& counters, const Times& times);
+  Upstream(Loop& loop, UpstreamEvents& events, Counters& counters, const Times& times);
 
   // The number of a host, the same for one id for ever.
   HostNumber NumberOf(const std::string& id);
@@ -76,11 +76,11 @@
   void TakeList(const HostList& list);
   std::size_t Listed() const;  // Hosts in the list now, ready or draining.
 
-  // Starts a leg. Its end is told later, never from within this call.
-  SlotId Open(SlotId owner, HostNumber host, const LegWork& work);
-  void Close(SlotId leg);  // Abandons it, or ends it once up. Nothing more is told.
-  void Reset(SlotId leg);
-  Stream* Find(SlotId leg);
+  // Starts an attempt. Its end is told later, never from within this call.
+  SlotId Open(SlotId owner, HostNumber host, const AttemptWork& work);
+  void Close(SlotId attempt);  // Abandons it, or ends it once up. Nothing more is told.
+  void Reset(SlotId attempt);
+  Stream* Find(SlotId attempt);
   void Probe(HostNumber host);
 
   void OnConnected(SlotId id) override;
@@ -96,8 +96,8 @@
     SlotId idle_probe;
     bool watched_drain = false;
   };
-  struct Link {  // A leg or a probe's connection.
-    Link(SlotId slot, Issuer& all, HostNumber to, bool is_probe)
+  struct Link {  // An attempt or a probe's connection.
+    Link(SlotId slot, Upstream& all, HostNumber to, bool is_probe)
         : id(slot),
           host(to),
           probe(is_probe),
@@ -108,35 +108,35 @@
     bool probe;
     Stream stream;
     Deadline deadline;
-    LegWork work;
+    AttemptWork work;
     Micros give_up{0};
     bool sent = false;  // The connection is up and nothing is sent yet: the last moment in which the opener
-                        // may close the leg.
-    virtual void OnLegConnected(SlotId /*owner*/) {}
+                        // may close the attempt.
+    virtual void OnAttemptConnected(SlotId /*owner*/) {}
     // The first line's last byte is with the socket.
     bool reused = false;  // A probe's connection that was idle before.
-    bool up = false;      // A leg after UP; a probe's connection while it is idle.
+    bool up = false;      // An attempt after UP; a probe's connection while it is idle.
   };
 
   void Start(Link& link);
   void Sent(Link& link);
   void Due(SlotId id);
-  void EndLeg(Link& leg, LegEnd end, std::string_view line);
+  void EndAttempt(Link& attempt, AttemptEnd end, std::string_view line);
   void EndProbe(Link& link, bool ok, std::string_view report, bool keep);
-  void ReadLeg(Link& leg);
+  void ReadAttempt(Link& attempt);
   void ReadProbe(Link& link);
   void StopSending(HostNumber host);
   std::size_t Idle() const;  // Probes' connections that are kept.
 
   Loop& loop_;
-  IssuerEvents& events_;
+  UpstreamEvents& events_;
   Counters& counters_;
   Times times_;
   std::vector<Host> hosts_;
   std::unordered_map<std::string, HostNumber> numbers_;
   Slots<Link> links_;
   struct Drain {
-    Drain(SlotId slot, Issuer& all, HostNumber to)
+    Drain(SlotId slot, Upstream& all, HostNumber to)
         : deadline(all.loop_.deadlines, [&all, slot, to] {
             all.drains_.Erase(slot);
             all.StopSending(to);
@@ -148,4 +148,4 @@
 
 }  // namespace stoatrun
 
-#endif  // STOATRUN_NET_ISSUER_H_
+#endif  // STOATRUN_NET_UPSTREAM_H_
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -11,9 +11,9 @@
 #include <string_view>
 #include <vector>
 
-#include "net/acquirer.h"
+#include "net/downstream.h"
 #include "net/fleet_told.h"
-#include "net/issuer.h"
+#include "net/upstream.h"
 #include "net/world.h"
 
 namespace stoatrun {
@@ -80,11 +80,11 @@
   world.Play("wait 150");  // Half of the time after which nothing may be sent.
   CHECK(world.Counts().client_left == 1);
   CHECK(world.Relayed().Outstanding() == 0);
-  const auto legs = world.Counts().legs;
+  const auto attempts = world.Counts().legs;
   fleet.cold = 100;
   if (place == "queue") world.Play(kReady);
   world.Play("wait 2000");
-  CHECK(world.Counts().legs == legs);
+  CHECK(world.Counts().legs == attempts);
   world.Play("s-1 legs " + std::string(place == "between attempts" ? "1" : "0"));
 }
 
@@ -150,45 +150,45 @@
 // A reset just before the line is written: it was counted as sent, and a class that may not run twice not
 // tried again.
 TEST_CASE("a line whose writing fails has not been sent") {
-  struct Cut : IssuerEvents {
+  struct Cut : UpstreamEvents {
     int listener = -1;
-    std::optional<LegEnd> end;
+    std::optional<AttemptEnd> end;
     bool sent = false;
-    void OnLegConnected(SlotId /*owner*/) override {
+    void OnAttemptConnected(SlotId /*owner*/) override {
       const int fd = accept(listener, nullptr, nullptr);
       const linger hard{1, 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
       close(fd);
     }
-    void OnLegUp(SlotId /*owner*/, std::string_view /*line*/) override {}
-    void OnLegSent(SlotId /*owner*/) override { sent = true; }
-    void OnLegEnd(SlotId /*owner*/, LegEnd how, std::string_view /*line*/) override { end = how; }
-    void OnLegBytes(SlotId /*owner*/) override {}
-    void OnLegFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
-    void OnLegRoom(SlotId /*owner*/) override {}
+    void OnAttemptUp(SlotId /*owner*/, std::string_view /*line*/) override {}
+    void OnAttemptSent(SlotId /*owner*/) override { sent = true; }
+    void OnAttemptEnd(SlotId /*owner*/, AttemptEnd how, std::string_view /*line*/) override { end = how; }
+    void OnAttemptBytes(SlotId /*owner*/) override {}
+    void OnAttemptFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
+    void OnAttemptRoom(SlotId /*owner*/) override {}
     void OnProbe(HostNumber /*host*/, bool /*ok*/, std::string_view /*report*/) override {}
   } cut;
   const Door door;
   cut.listener = door.fd;
   Loop loop(Clock::Mode::kManual);
   Counters counters;
-  Issuer issuer(loop, cut, counters, {});
-  issuer.TakeList({1, true, {{.id = "s-1", .address = door.address, .locality = ""}}});
-  issuer.Open({}, 0, {"OPEN 1 k d=", "", true, Micros(1'000'000)});
+  Upstream upstream(loop, cut, counters, {});
+  upstream.TakeList({1, true, {{.id = "s-1", .address = door.address, .locality = ""}}});
+  upstream.Open({}, 0, {"OPEN 1 k d=", "", true, Micros(1'000'000)});
   for (int k = 0; k < 1'000'000 && !cut.end; ++k) loop.Poll();
-  CHECK(cut.end == LegEnd::kNotConnected);
+  CHECK(cut.end == AttemptEnd::kNotConnected);
   CHECK_FALSE(cut.sent);
 }
 
 // One kept connection for each of ninety hosts would take the descriptors that clients need.
 TEST_CASE("of the connections of probes a bounded number is kept, however many hosts there are") {
-  struct Asked : IssuerEvents {
+  struct Asked : UpstreamEvents {
     int answers = 0;
-    void OnLegUp(SlotId /*owner*/, std::string_view /*line*/) override {}
-    void OnLegEnd(SlotId /*owner*/, LegEnd /*how*/, std::string_view /*line*/) override {}
-    void OnLegBytes(SlotId /*owner*/) override {}
-    void OnLegFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
-    void OnLegRoom(SlotId /*owner*/) override {}
+    void OnAttemptUp(SlotId /*owner*/, std::string_view /*line*/) override {}
+    void OnAttemptEnd(SlotId /*owner*/, AttemptEnd /*how*/, std::string_view /*line*/) override {}
+    void OnAttemptBytes(SlotId /*owner*/) override {}
+    void OnAttemptFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
+    void OnAttemptRoom(SlotId /*owner*/) override {}
     void OnProbe(HostNumber /*host*/, bool ok, std::string_view /*report*/) override {
       answers += ok ? 1 : 0;
     }
@@ -196,16 +196,16 @@
   const Door door;
   Loop loop(Clock::Mode::kManual);
   Counters counters;
-  Issuer issuer(loop, asked, counters, {});
+  Upstream upstream(loop, asked, counters, {});
   HostList list{1, true, {}};
   for (int k = 0; k < 90; ++k) {
     list.entries.push_back({.id = "s-" + std::to_string(k), .address = door.address, .locality = ""});
   }
-  issuer.TakeList(list);
+  upstream.TakeList(list);
   std::vector<int> open;
   for (int round = 1; round <= 3; ++round) {
     for (HostNumber h = 0; h < 90; ++h) {
-      issuer.Probe(h);
+      upstream.Probe(h);
       while (asked.answers < static_cast<int>(round * 90 - 89 + h)) {
         loop.Poll();
         if (const int fd = accept4(door.fd, nullptr, nullptr, SOCK_NONBLOCK); fd >= 0) open.push_back(fd);
@@ -305,7 +305,7 @@
 // One of those that rest has asked, unread as yet, and room is made for it: others that were to be ended are
 // gone.
 TEST_CASE("a planned end ends those that rest, though room is made among them meanwhile") {
-  struct Taken : AcquirerEvents {
+  struct Taken : DownstreamEvents {
     int opened = 0;
     std::string_view Objection(const OpenHead& /*head*/) override { return {}; }
     SlotId OnOpen(SlotId /*client*/, const OpenHead& /*head*/) override { return ++opened, SlotId{}; }
@@ -315,9 +315,9 @@
   } taken;
   Loop loop(Clock::Mode::kManual);
   Counters counters;
-  Acquirer acquirer(loop, taken, counters, 96);
-  acquirer.Listen(*Address::Parse("127.0.0.1:0"));
-  const auto address = Address::Parse("127.0.0.1:" + std::to_string(acquirer.Port()));
+  Downstream downstream(loop, taken, counters, 96);
+  downstream.Listen(*Address::Parse("127.0.0.1:0"));
+  const auto address = Address::Parse("127.0.0.1:" + std::to_string(downstream.Port()));
   std::vector<int> callers;
   for (int k = 0; k < 48; ++k) {  // As many as there is room for.
     callers.push_back(socket(AF_INET, SOCK_STREAM, 0));
@@ -328,7 +328,7 @@
   loop.clock.Advance(std::chrono::milliseconds(300));
   const std::string_view line = "OPEN 1 k c=watch,d=2000\r\n";
   CHECK(send(callers.front(), line.data(), line.size(), 0) == static_cast<ssize_t>(line.size()));
-  acquirer.EndResting(false);
+  downstream.EndResting(false);
   CHECK(taken.opened == 1);
   CHECK(counters.crowded_out == 1);
   for (std::size_t k = 1; k < callers.size(); ++k) {
--- a/tests/net/fleet_told.h
+++ b/tests/net/fleet_told.h
@@ -8,11 +8,11 @@
 #include <utility>
 #include <vector>
 
-#include "base/fellows.h"
+#include "base/peers.h"
 
 namespace stoatrun {
 
-class FleetTold : public Fellows {
+class FleetTold : public Peers {
  public:
   Ticket Take(std::size_t /*class_index*/, std::string_view group) override {
     ++taken;
--- a/tests/net/operators_test.cpp
+++ b/tests/net/operators_test.cpp
@@ -7,8 +7,8 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "net/acquirer.h"
 #include "net/config.h"
+#include "net/downstream.h"
 #include "net/world.h"
 
 namespace stoatrun {
@@ -193,22 +193,22 @@
 TEST_CASE("a descriptor that is no listening IPv4 TCP socket is refused with its number") {
   Loop loop(Clock::Mode::kManual);
   Counters counters;
-  struct Nobody : AcquirerEvents {
+  struct Nobody : DownstreamEvents {
     std::string_view Objection(const OpenHead& /*head*/) override { return {}; }
     SlotId OnOpen(SlotId client, const OpenHead& /*head*/) override { return client; }
     void OnClientBytes(SlotId /*owner*/) override {}
     void OnClientEnd(SlotId /*owner*/, StreamEnd /*end*/) override {}
     void OnClientRoom(SlotId /*owner*/) override {}
   } nobody;
-  Acquirer acquirer(loop, nobody, counters, 256);
+  Downstream downstream(loop, nobody, counters, 256);
   const int file = open("/dev/null", O_RDONLY);
   const int unbound = socket(AF_INET, SOCK_STREAM, 0);
   const int datagram = socket(AF_INET, SOCK_DGRAM, 0);
   const auto refused = [&](int fd, const std::string& why) {
     INFO(why);
-    REQUIRE_THROWS_AS(acquirer.Inherit(fd), ConfigError);
+    REQUIRE_THROWS_AS(downstream.Inherit(fd), ConfigError);
     try {
-      acquirer.Inherit(fd);
+      downstream.Inherit(fd);
     } catch (const ConfigError& e) {
       CHECK_THAT(e.what(), Catch::Contains("PROXY_ACCEPT_FD: descriptor " + std::to_string(fd) + " " + why));
     }
@@ -217,7 +217,7 @@
   refused(unbound, "does not listen");
   refused(datagram, "is not a TCP socket");
   refused(987, "is not open");
-  CHECK_FALSE(acquirer.Inherited());
+  CHECK_FALSE(downstream.Inherited());
   for (const int fd : {file, unbound, datagram}) close(fd);
 }
 
--- a/tests/net/fellows_test.cpp
+++ b/tests/net/peers_test.cpp
@@ -28,12 +28,12 @@
   )");
   CHECK(fleet.taken == 2);
   CHECK(fleet.groups == std::vector<std::string>{"wetland", ""});
-  CHECK(fleet.ends[Fellows::End::kServed] == 1);
-  CHECK(fleet.ends[Fellows::End::kFailed] == 1);
+  CHECK(fleet.ends[Peers::End::kServed] == 1);
+  CHECK(fleet.ends[Peers::End::kFailed] == 1);
   CHECK(fleet.sent["s-1"] == 2);
   CHECK(fleet.listed == 1);
   REQUIRE(!fleet.saws.empty());
-  CHECK(fleet.saws[0] == std::pair(std::string("s-1"), Fellows::Saw::kFine));
+  CHECK(fleet.saws[0] == std::pair(std::string("s-1"), Peers::Saw::kFine));
 }
 
 TEST_CASE("a connection beyond its group's quota is declined at once, with advice, and not sent on") {
@@ -50,7 +50,7 @@
     b expect-end
     s-1 legs 1
   )");
-  CHECK(fleet.ends[Fellows::End::kRefused] == 1);
+  CHECK(fleet.ends[Peers::End::kRefused] == 1);
   CHECK(fleet.held == 1);
   // What is over the quota later, as a loan ended, is moved away.
   fleet.quota = 0;
@@ -69,7 +69,7 @@
   world.Play(
       "s-1 down\ns-2 down\na send OPEN 1 k c=watch,d=2000\nwait 100\nwait 300\nwait 300\na expect BUSY*\n");
   CHECK(world.Counts().legs_held_back == 1);
-  CHECK(fleet.ends[Fellows::End::kRefused] == 1);
+  CHECK(fleet.ends[Peers::End::kRefused] == 1);
 }
 
 TEST_CASE("a look that the fleet's budget does not allow tells the module nothing, and placement goes on") {
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -116,7 +116,8 @@
   Few() : World({"s-1"}, 96) {}
 };
 
-// Hundreds that say nothing once took every descriptor: clients were turned away and legs could not connect.
+// Hundreds that say nothing once took every descriptor: clients were turned away and attempts could not
+// connect.
 TEST_CASE_METHOD(Few, "silent callers are bounded, the oldest go first, and clients come through") {
   Play(kStand);
   Play("crowd 200\nquiet 46\nb send OPEN 2 k c=watch,d=2000\ns-1#2 expect OPEN 2 k*\nquiet 44");
@@ -320,7 +321,7 @@
   CHECK(Counts().legs_not_connected == 1);
 }
 
-// Guards the rule of careful drains: the leg would send its first byte when it comes up, long after the
+// Guards the rule of careful drains: the attempt would send its first byte when it comes up, long after the
 // grace.
 TEST_CASE_METHOD(Alone, "a leg that still connects when a drain is told is given up within the grace") {
   Play(kStand);
--- a/tests/net/world.cpp
+++ b/tests/net/world.cpp
@@ -91,12 +91,12 @@
 }
 
 World::World(const std::vector<std::string>& hosts, int descriptors, int relays, int accept_fd,
-             std::string discovery, Fellows* fellows)
+             std::string discovery, Peers* peers)
     : descriptors_(descriptors), relays_(relays), accept_fd_(accept_fd), mode_(std::move(discovery)) {
   SetLogLevel(Level::kError);
   for (const char* name : {"discovery", "discovery2"}) Listen(discoveries_[name]);
   for (const std::string& id : hosts) Listen(hosts_[id]);
-  relay_ = std::make_unique<Relay>(loop_, ConfigWith(discoveries_["discovery"]), nullptr, fellows);
+  relay_ = std::make_unique<Relay>(loop_, ConfigWith(discoveries_["discovery"]), nullptr, peers);
   relay_->Start();
 }
 
@@ -123,7 +123,7 @@
   for (auto& [name, host] : hosts_) {
     if (host.fd >= 0) close(host.fd);
     for (const int fd : host.waiting) close(fd);
-    for (auto* all : {&host.fresh, &host.legs}) {
+    for (auto* all : {&host.fresh, &host.attempts}) {
       for (auto& peer : *all) peer->Close(false);
     }
   }
@@ -142,7 +142,7 @@
       peer->in.erase(0, 7);
       peer->Send("PONG inflight=3,x0=" + host.load + ",later=?\r\n");
     } else if (!peer->in.empty()) {
-      host.legs.push_back(std::move(peer));
+      host.attempts.push_back(std::move(peer));
     }
   }
   std::erase(host.fresh, nullptr);
@@ -162,7 +162,7 @@
     } else {
       peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
-    discovery.legs.push_back(std::move(peer));
+    discovery.attempts.push_back(std::move(peer));
   }
   std::erase(discovery.fresh, nullptr);
 }
@@ -192,8 +192,8 @@
   const std::size_t mark = who.find('#');
   if (const auto host = hosts_.find(who.substr(0, mark)); host != hosts_.end()) {
     const std::size_t number = mark == std::string::npos ? 1 : std::stoul(who.substr(mark + 1));
-    REQUIRE(Until([&] { return host->second.legs.size() >= number; }));
-    return *host->second.legs[number - 1];
+    REQUIRE(Until([&] { return host->second.attempts.size() >= number; }));
+    return *host->second.attempts[number - 1];
   }
   auto& client = clients_[who];
   if (!client) {
@@ -284,8 +284,8 @@
       discovery_refuses_ = verb == "refuse";
       discovery_mute_ = verb == "mute";
     } else {
-      REQUIRE(Until([&] { return !discovery.legs.empty(); }));
-      Peer& watch = *discovery.legs.back();
+      REQUIRE(Until([&] { return !discovery.attempts.empty(); }));
+      Peer& watch = *discovery.attempts.back();
       if (verb == "send" || verb == "raw") {
         const std::string body = verb == "send" ? text + "\n" : Unescaped(text);
         std::ostringstream chunk;
@@ -294,7 +294,7 @@
       } else if (verb == "plain") {
         watch.Send(Unescaped(text));
       } else if (verb == "watches") {
-        REQUIRE(Until([&] { return discovery.legs.size() >= std::stoul(text); }));
+        REQUIRE(Until([&] { return discovery.attempts.size() >= std::stoul(text); }));
       } else if (verb == "asked") {
         REQUIRE(watch.in.find(text) != std::string::npos);
       } else if (verb == "expect-end") {
@@ -332,7 +332,7 @@
   } else if (verb == "load") {
     hosts_.at(who).load = text;
   } else if (verb == "legs") {
-    REQUIRE(hosts_.at(who).legs.size() == std::stoul(text));
+    REQUIRE(hosts_.at(who).attempts.size() == std::stoul(text));
   } else {
     Peer& peer = PeerOf(who, step);
     if (verb == "send") {
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -1,5 +1,5 @@
 // The one helper of the network tests: a relay on real loopback sockets under a clock that only `wait` moves,
-// with toy clients, issuer hosts and discovery, played from a script of one step a line:
+// with toy clients, sync servers and discovery, played from a script of one step a line:
 //
 // clang-format off
 //   a send TEXT           client a (connected at its first step) sends a line; `raw` sends without its end
@@ -47,7 +47,7 @@
   // `accept_fd`: a listening socket that the relay is handed, as the platform hands one down; -1: it binds.
   // `discovery`: how lists come, as the settings say it. `fellows`: the rest of the fleet, if there is one.
   explicit World(const std::vector<std::string>& hosts, int descriptors = 0, int relays = 1,
-                 int accept_fd = -1, std::string discovery = "subscribe", Fellows* fellows = nullptr);
+                 int accept_fd = -1, std::string discovery = "subscribe", Peers* peers = nullptr);
   ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
@@ -55,7 +55,9 @@
   void Play(std::string_view script);  // Fails the test at the first step that does not hold.
   const Counters& Counts() const { return relay_->Counts(); }
   const Relay& Relayed() const { return *relay_; }
-  std::size_t Discovered() const { return discoveries_.at("discovery").legs.size(); }  // Calls that it took.
+  std::size_t Discovered() const {
+    return discoveries_.at("discovery").attempts.size();
+  }  // Calls that it took.
 
  private:
   struct Peer {  // One socket of the toy side.
@@ -69,7 +71,7 @@
   struct Server {  // A toy host or discovery.
     int fd = -1;
     int port = 0;
-    std::vector<std::unique_ptr<Peer>> fresh, legs;
+    std::vector<std::unique_ptr<Peer>> fresh, attempts;
     std::vector<int> waiting;  // Connections that fill its queue: no more come up.
     std::string load = "0.2";  // What its probes tell.
   };
