A link has no virtual call; a check that nothing reached goes

Lint refused Upstream::Link, which had come by a virtual function of its events on: a text replaced in two places.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -204,8 +204,6 @@
   Link* l = links_.Find(id);
   if (l == nullptr) return;
   if (!l->probe) {
-    // In one turn with the end of its time, or with its client's: nothing of it has run, and nothing shall.
-    if (loop_.Now() >= l->give_up) return EndAttempt(*l, AttemptEnd::kNotConnected, {});
     events_.OnAttemptConnected(l->owner);
     l = links_.Find(id);
     if (l == nullptr) return;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -110,10 +110,7 @@
     Deadline deadline;
     AttemptWork work;
     Micros give_up{0};
-    bool sent = false;  // The connection is up and nothing is sent yet: the last moment in which the opener
-                        // may close the attempt.
-    virtual void OnAttemptConnected(SlotId /*owner*/) {}
-    // The first line's last byte is with the socket.
+    bool sent = false;    // The first line's last byte is with the socket.
     bool reused = false;  // A probe's connection that was idle before.
     bool up = false;      // An attempt after UP; a probe's connection while it is idle.
   };
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -180,6 +180,33 @@
   CHECK_FALSE(cut.sent);
 }
 
+// It was sent with a wait of a millisecond, to a host that works for nobody then.
+TEST_CASE("an attempt that comes up with the end of its time sends nothing") {
+  struct Late : UpstreamEvents {
+    std::optional<AttemptEnd> end;
+    void OnAttemptUp(SlotId /*owner*/, std::string_view /*line*/) override {}
+    void OnAttemptEnd(SlotId /*owner*/, AttemptEnd how, std::string_view /*line*/) override { end = how; }
+    void OnAttemptBytes(SlotId /*owner*/) override {}
+    void OnAttemptFinished(SlotId /*owner*/, StreamEnd /*how*/) override {}
+    void OnAttemptRoom(SlotId /*owner*/) override {}
+    void OnProbe(HostNumber /*host*/, bool /*ok*/, std::string_view /*report*/) override {}
+  } late;
+  const Door door;
+  Loop loop(Clock::Mode::kManual);
+  Counters counters;
+  Upstream upstream(loop, late, counters, {});
+  upstream.TakeList({1, true, {{.id = "s-1", .address = door.address, .locality = ""}}});
+  upstream.Open({}, 0, {"OPEN 1 k d=", "", true, Micros(100'000)});
+  int fd = -1;
+  while ((fd = accept(door.fd, nullptr, nullptr)) < 0) continue;  // Up, and not told yet.
+  loop.clock.Advance(std::chrono::milliseconds(100));
+  for (int k = 0; k < 3; ++k) loop.Poll();
+  CHECK(late.end == AttemptEnd::kNotConnected);
+  std::array<char, 16> sent{};
+  CHECK(recv(fd, sent.data(), sent.size(), 0) <= 0);
+  close(fd);
+}
+
 // One kept connection for each of ninety hosts would take the descriptors that clients need.
 TEST_CASE("of the connections of probes a bounded number is kept, however many hosts there are") {
   struct Asked : UpstreamEvents {
