--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -19,17 +19,6 @@
 namespace stoatrun {
 namespace {
 
-class Alone : public World {
- public:
-  Alone() : World({"s-1"}) {}
-};
-
-constexpr const char* kStand = R"(
-  a send OPEN 1 k c=watch,d=2000
-  s-1 expect OPEN 1 k c=watch,d=*
-  s-1 send UP r1
-  a expect UP r1
-)";
 constexpr const char* kDrained =
     R"(discovery send {"revision":2,"members":[{"id":"s-1","phase":"draining"}]})";
 constexpr const char* kReady =
--- a/tests/net/operators_test.cpp
+++ b/tests/net/operators_test.cpp
@@ -14,18 +14,6 @@
 namespace stoatrun {
 namespace {
 
-constexpr const char* kStand = R"(
-  a send OPEN 1 k c=watch,d=2000
-  s-1 expect OPEN 1 k c=watch,d=*
-  s-1 send UP r1
-  a expect UP r1
-)";
-
-class Alone : public World {
- public:
-  Alone() : World({"s-1"}) {}
-};
-
 TEST_CASE_METHOD(Alone, "the operators' drain says no to the front and moves standing clients in time") {
   Play(kStand);
   CHECK(Relayed().Ready());
--- a/tests/net/relay_test.cpp
+++ b/tests/net/relay_test.cpp
@@ -7,19 +7,6 @@
 namespace stoatrun {
 namespace {
 
-// Both hosts report the same load; a lone host makes the landing certain.
-constexpr const char* kStand = R"(
-  a send OPEN 1 k c=watch,d=2000
-  s-1 expect OPEN 1 k c=watch,d=*
-  s-1 send UP r1
-  a expect UP r1
-)";
-
-class Alone : public World {
- public:
-  Alone() : World({"s-1"}) {}
-};
-
 TEST_CASE_METHOD(Alone, "lines pass unchanged both ways until the host says BYE") {
   Play(kStand);
   Play(R"(
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -104,6 +104,20 @@
 // Plays a script in a world of the hosts s-1 and s-2 of its own.
 inline void Play(std::string_view script) { World({"s-1", "s-2"}).Play(script); }
 
+// A world of one host: a lone one makes the landing certain.
+class Alone : public World {
+ public:
+  Alone() : World({"s-1"}) {}
+};
+
+// A client that stands there.
+inline constexpr const char* kStand = R"(
+  a send OPEN 1 k c=watch,d=2000
+  s-1 expect OPEN 1 k c=watch,d=*
+  s-1 send UP r1
+  a expect UP r1
+)";
+
 }  // namespace stoatrun
 
 #endif  // STOATRUN_TESTS_NET_WORLD_H_
