Log and count the calls to discovery and how old the list is

Adds `watch call`, `watch answered`, the ages of call and list in `watch failed`, the counter watch_calls, and debug lines for failed requests and clients that leave.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -32,6 +32,7 @@
       .Field("activations", counters.activations)
       .Field("drain_migrations", counters.drain_migrations)
       .Field("endpoint_updates", counters.endpoint_updates)
+      .Field("watch_calls", counters.watch_calls)
       .Field("watch_failures", counters.watch_failures)
       .Field("reloads", counters.reloads)
       .Field("reloads_failed", counters.reloads_failed);
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -57,6 +57,7 @@
   std::uint64_t probes = 0;
   std::uint64_t probes_failed = 0;
   std::uint64_t endpoint_updates = 0;
+  std::uint64_t watch_calls = 0;
   std::uint64_t watch_failures = 0;
 
   // Operations.
--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t kMaxObjectSize = 1 << 20;
 constexpr unsigned kHttpOk = 200;
 
+std::int64_t Milliseconds(Micros duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(EventLoop& loop, DiscoveryListener& listener, Counters& counters,
@@ -47,6 +51,7 @@
       retry_timer_(loop.timers, [this] { StartCall(); }),
       watch_timeout_(loop.timers, [this] { OnWatchTimeout(); }),
       backoff_(pacing.callers, pacing.max_delay, pacing.jitter_seed),
+      last_event_at_(loop.Now()),
       framer_(kMaxObjectSize) {
   http_parser_settings_init(&parser_settings_);
   parser_settings_.on_headers_complete = OnHeadersComplete;
@@ -91,6 +96,9 @@
 void DiscoveryClient::StartCall() {
   Call& call = calls_.Add(*this);
   call_ = call.id;
+  ++counters_.watch_calls;
+  call_started_at_ = loop_.Now();
+  LogLine(Level::kInfo, "watch call").Field("discovery", host_).Field("revision", revision_);
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   framer_.Clear();
@@ -166,7 +174,11 @@
   // In a large fleet the backoff may exceed the time left until the missed updates are assumed to be known.
   const Micros remaining = notified_deadline_ - kResponseTime - loop_.Now();
   if (remaining.count() > 0) delay = std::min(delay, backoff_.DelayWithin(remaining / 2));
-  LogLine(Level::kInfo, "watch failed").Reason(LogName(failure)).Field("again_in_ms", delay.count() / 1000);
+  LogLine(Level::kInfo, "watch failed")
+      .Reason(LogName(failure))
+      .Field("again_in_ms", Milliseconds(delay))
+      .Field("call_age_ms", Milliseconds(loop_.Now() - call_started_at_))
+      .Field("list_age_ms", Milliseconds(loop_.Now() - last_event_at_));
   ++counters_.watch_failures;
   CancelCall();
   retry_timer_.Set(loop_.Now() + delay);
@@ -176,8 +188,11 @@
 int DiscoveryClient::OnHeadersComplete(http_parser* parser) {
   auto* self = static_cast<DiscoveryClient*>(parser->data);
   self->response_.rejected = parser->status_code != kHttpOk;
+  if (self->response_.rejected) return 0;
+  LogLine(Level::kInfo, "watch answered")
+      .Field("after_ms", Milliseconds(self->loop_.Now() - self->call_started_at_));
   // The service has started to handle this call: events are due from now on.
-  if (!self->response_.rejected) self->watch_timeout_.Set(self->loop_.Now() + kEventTimeout);
+  self->watch_timeout_.Set(self->loop_.Now() + kEventTimeout);
   return 0;
 }
 
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -101,7 +101,8 @@
   bool watching_ = false;
   bool response_due_ = false;  // The last call of Watch has had no update or failure yet.
   Response response_;
-  Micros last_event_at_{0};  // Over all calls.
+  Micros last_event_at_;       // Over all calls; initially the time of the construction.
+  Micros call_started_at_{0};  // The start of the latest call.
   // The time from which the platform assumes that the proxy knows the updates missed by the timed-out watch.
   // 0: no watch has timed out since the last update, or there were too many timeouts to meet the deadline.
   Micros notified_deadline_{0};
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -128,6 +128,7 @@
   const bool had_attempt = static_cast<bool>(session.attempt);
   const bool resumed = session.IsResumed();
   const EndpointIndex endpoint = session.endpoint;
+  LogLine(Level::kDebug, "client left").Field("session", session_id.ToUint64()).Flag("attempt", had_attempt);
   deps_.upstream.Close(std::exchange(session.attempt, {}));
   // A client that has only finished sending (FIN) may still read the answer.
   if (end == ConnectionEnd::kFinished) {
@@ -200,6 +201,7 @@
 
 void SessionController::Fail(SlotId session_id) {
   ++deps_.counters.failed;
+  LogLine(Level::kDebug, "fail").Field("session", session_id.ToUint64());
   Answer(session_id, kErrorLine, FleetClient::ConnectionOutcome::kFailed);
 }
 
