--- a/fault_injection/line_connection.cpp
+++ b/fault_injection/line_connection.cpp
@@ -52,6 +52,12 @@
   if (send(watcher_->Fd(), text.data(), text.size(), MSG_NOSIGNAL) < 0) return;
 }
 
+std::size_t LineConnection::SendSome(std::string_view text) {
+  if (!watcher_ || closed_ || text.empty()) return 0;
+  const ssize_t sent = send(watcher_->Fd(), text.data(), text.size(), MSG_NOSIGNAL);
+  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
 bool LineConnection::PeerHasClosed() const {
   if (!watcher_ || closed_) return true;
   char next = 0;
@@ -64,6 +70,14 @@
   watcher_.reset();
 }
 
+void LineConnection::Reset() {
+  if (watcher_) {
+    const linger reset{1, 0};
+    setsockopt(watcher_->Fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  }
+  Close();
+}
+
 void LineConnection::Read() {
   std::array<char, 16384> buffer;
   while (watcher_ && !closed_) {
--- a/fault_injection/line_connection.h
+++ b/fault_injection/line_connection.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,8 @@
 
   // Sends without buffering; does nothing on a closed connection.
   void Send(std::string_view text);
+  // Sends what the socket accepts now; returns the number of bytes.
+  std::size_t SendSome(std::string_view text);
   // Whether the kernel has already received the peer's close or reset, even if the end of stream was not read
   // yet.
   bool PeerHasClosed() const;
@@ -37,6 +40,8 @@
   bool IsClosed() const { return closed_; }
   // Closes without calling `on_closed`.
   void Close();
+  // The same, but sends a reset to the peer.
+  void Reset();
 
  private:
   void Read();
--- a/fault_injection/main.cpp
+++ b/fault_injection/main.cpp
@@ -15,13 +15,17 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "history/history_checker.h"
+#include "late_notice/late_notice.h"
 #include "process_fleet.h"
 #include "simulation/schedule.h"
 
 namespace {
 
+using stoatrun::fault_injection::NoticeTrial;
 using stoatrun::fault_injection::ProcessFleetResults;
 using stoatrun::fault_injection::ProcessFleetSetup;
 using stoatrun::history::Findings;
@@ -117,6 +121,45 @@
   return 0;
 }
 
+struct NoticeOptions {
+  std::string fault = "reload";
+  NoticeTrial trial;
+};
+
+// Runs one late-notice trial and prints its result as a row of a table.
+int RunNotice(NoticeOptions options) {
+  NoticeTrial& trial = options.trial;
+  for (const auto& [name, fault] : stoatrun::fault_injection::kNoticeFaults) {
+    if (name == options.fault) trial.fault = fault;
+  }
+  if (trial.relays > trial.fleet_size) trial.fleet_size = trial.relays;
+  trial.program = std::filesystem::absolute(trial.program).string();
+  const bool temporary_folder = trial.folder.empty();
+  if (temporary_folder) {
+    trial.folder = MakeTemporaryFolder();
+  } else {
+    std::filesystem::create_directories(trial.folder);
+  }
+  const auto result = stoatrun::fault_injection::RunNoticeTrial(trial);
+  const double bound = std::chrono::duration<double>(stoatrun::fault_injection::kNoticeBound).count();
+  const bool kept = result.late_relays == 0 && result.uninformed_relays == 0 && result.crashed == 0;
+  std::cout << fmt::format(
+      "| {} | {} | {} of {} | {} | {:.2f} | {:.2f} | {:.2f} | {:.2f} | {} | {} | {} of {} | {} of {} | "
+      "{:.2f} | "
+      "{} |\n",
+      options.fault, trial.pushed ? "pushed" : "asked", trial.relays, trial.fleet_size, trial.endpoints,
+      result.learned_s.empty() ? 0 : result.learned_s.back(), result.lateness_s[result.lateness_s.size() / 2],
+      result.lateness_s.back(), bound, result.late_relays, result.uninformed_relays, result.rejected,
+      result.requests, result.rejected_calls, result.calls, result.longest_answer_s,
+      kept ? "kept" : "BROKEN");
+  if (!kept) {
+    std::cout << "files: " << trial.folder << '\n';
+    return kExitViolation;
+  }
+  if (temporary_folder) std::filesystem::remove_all(trial.folder);
+  return 0;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Runs stoatrun processes under injected faults and checks their histories.");
   app.require_subcommand(1);
@@ -135,9 +178,28 @@
                   "file for the history (default: history.jsonl in the folder)");
   run->add_option("--connections", options.setup.connections_per_s,
                   "new connections per second at each relay");
+  NoticeOptions notice_options;
+  NoticeTrial& trial = notice_options.trial;
+  CLI::App* notice = app.add_subcommand(
+      "late-notice", "measures how long relays go on to use an endpoint after its drain counts as known");
+  std::vector<std::string> fault_names;
+  for (const auto& named : stoatrun::fault_injection::kNoticeFaults) fault_names.emplace_back(named.name);
+  notice->add_option("fault", notice_options.fault, "how the relays learn of the drain")
+      ->required()
+      ->check(CLI::IsMember(fault_names));
+  notice->add_flag("--pushed", trial.pushed, "lists are pushed by an agent of each relay");
+  notice->add_option("--relays", trial.relays, "relay processes")->check(CLI::Range(1, 250));
+  notice->add_option("--fleet", trial.fleet_size, "the relays' setting `balancers`");
+  notice->add_option("--endpoints", trial.endpoints, "entries of the endpoint list");
+  notice->add_option("--reload-spread-ms", trial.reload_spread, "from the first reload to the last");
+  notice->add_option("--seed", trial.seed, "seed of the relays and of the trial");
+  notice->add_option("--program", trial.program, "path of the relay program")->required();
+  notice->add_option("--folder", trial.folder,
+                     "folder for files and logs (default: a temporary one, deleted if the bound holds)");
   CLI::App* check = app.add_subcommand("check", "checks a recorded history");
   check->add_option("file", options.file, "history file")->required();
   CLI11_PARSE(app, argc, argv);
+  if (notice->parsed()) return RunNotice(std::move(notice_options));
   if (check->parsed()) return Report(stoatrun::history::Check(ReadFile(options.file)));
   return Run(std::move(options));
 }
