Call discovery before changes count as known, in a fleet of any size

Cause: the wait before a call came from the size of the fleet alone. With `balancers` over 150 the first call after a start or a reload, and each call after a failure, waited up to 6 s; a further reload drew that wait anew. But a change counts as known 4 s after a reload and 6 s after discovery had it, and the answer takes time too. Only the retry after a silent watch knew of such a limit.

Now UpdateDeadline follows events, reloads and failed calls, and every wait is drawn below the time that it leaves: calls begin within 3.5 s of the last event, of the start, or of the begin of a failed call, and within 1.5 s of the first of several reloads. The rest, 2.5 s, is for the answer.

--- a/src/base/backoff.h
+++ b/src/base/backoff.h
@@ -30,17 +30,17 @@
         random_(seed) {}
 
   // The delay before the first call, for callers that all start at the same time: uniform in [0, 40 ms times
-  // the number of other callers].
-  Micros InitialDelay() { return Draw(Micros(0), initial_spread_); }
-  // The delay after a failure: uniform between half of the current step and the full step. Then doubles the
-  // step.
-  Micros NextDelay() {
-    const Micros delay = Draw(step_ / 2, step_);
+  // the number of other callers], or in [0, `limit`] if that is less.
+  Micros InitialDelay(Micros limit = Micros::max()) {
+    return Draw(Micros(0), std::min(initial_spread_, limit));
+  }
+  // The delay after a failure: uniform between half of the current step and the full step, or in [0, `limit`]
+  // if that is less than the step. Then doubles the step.
+  Micros NextDelay(Micros limit = Micros::max()) {
+    const Micros delay = step_ <= limit ? Draw(step_ / 2, step_) : Draw(Micros(0), limit);
     step_ = std::min(step_ * 2, last_step_);
     return delay;
   }
-  // A delay uniform in [0, `max_delay`], for a call with a deadline. Doesn't change the step.
-  Micros DelayWithin(Micros max_delay) { return Draw(Micros(0), max_delay); }
   // Returns to the first step, after a success or a change of the service's address.
   void Reset() { step_ = first_step_; }
 
--- a/src/base/timer_queue.h
+++ b/src/base/timer_queue.h
@@ -57,6 +57,8 @@
   void Cancel();
   // Returns true if the callback has yet to run.
   bool IsSet() const { return is_set_; }
+  // The time for which the timer is set. Valid only if it is set.
+  Micros Time() const { return key_.time; }
 
  private:
   friend class TimerQueue;
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -1,18 +1,15 @@
-// The discovery client: maintains a long-poll watch (HTTP/1.1, one JSON object per update) on the endpoint
-// list, and renews it when it ends, fails or times out.
+// The discovery client: maintains a watch on the endpoint list, and renews it when it ends, fails or times
+// out.
 //
-// At most one call is in progress. A call fails if it delivers neither an update nor a heartbeat (an empty
-// line) in time; it is retried after a backoff. The current endpoint list remains in effect while there is no
-// watch. All calls and callbacks happen on the event loop's thread; nothing throws.
+// Calls are spread over time, because all proxies share the service, but never so far that an answer could
+// arrive after the platform assumes that the proxy knows the changes (see UpdateDeadline). The current
+// endpoint list remains in effect while there is no watch. All calls and callbacks happen on the event loop's
+// thread; nothing throws.
 #ifndef STOATRUN_ENDPOINT_DISCOVERY_CLIENT_H_
 #define STOATRUN_ENDPOINT_DISCOVERY_CLIENT_H_
 
-#include <http_parser.h>
-
-#include <cstddef>
 #include <cstdint>
 #include <string>
-#include <string_view>
 
 #include "base/backoff.h"
 #include "base/counters.h"
@@ -20,7 +17,8 @@
 #include "base/slot_map.h"
 #include "base/tcp_connection.h"
 #include "endpoint/endpoint_update.h"
-#include "endpoint/json_framing.h"
+#include "endpoint/update_deadline.h"
+#include "endpoint/watch_call.h"
 
 namespace stoatrun {
 
@@ -35,7 +33,7 @@
 };
 
 // The client of one discovery service.
-class DiscoveryClient : public TcpConnectionHandler {
+class DiscoveryClient : public WatchCallHandler {
  public:
   // Determines the delays between calls.
   struct CallPacing {
@@ -54,62 +52,33 @@
   // Switches to another address. The current endpoint list remains in effect until the new address responds.
   void ChangeAddress(const Address& address, std::string host);
 
-  void OnConnected(SlotId id) override;
-  void OnData(SlotId id) override;
-  void OnEnd(SlotId id, ConnectionEnd end) override;
+  void OnCallEvent(WatchCall& call) override;
+  void OnCallUpdate(WatchCall& call, const EndpointUpdate& update) override;
+  void OnCallUnanswered(WatchCall& call) override;
+  void OnCallFailed(WatchCall& call, WatchFailure failure) override;
 
  private:
-  enum class WatchFailure { kRejected, kEnded, kMalformed, kReset, kTimedOut };
-  struct Call {
-    Call(SlotId call_id, DiscoveryClient& client) : id(call_id), connection(client.loop_, client, call_id) {}
-    SlotId id;
-    TcpConnection connection;
-  };
-  // The state of the current call's response.
-  struct Response {
-    bool rejected = false;   // Its status is not 200.
-    bool ended = false;      // It is complete, so the watch has ended.
-    bool malformed = false;  // Its body can't be split into valid objects.
-    bool received_event = false;
-  };
-
-  static const char* LogName(WatchFailure failure);
-  static int OnHeadersComplete(http_parser* parser);
-  static int OnBody(http_parser* parser, const char* data, std::size_t size);
-  static int OnMessageComplete(http_parser* parser);
-
+  bool HasCallToCurrentAddress();
   void ScheduleFirstCall();
+  void ScheduleRetry(const WatchCall& call, WatchFailure failure);
   void StartCall();
-  void CancelCall();
-  void FailWatch(WatchFailure failure);
-  void OnWatchTimeout();
-  void RecordEvent();
-  void HandleBody(std::string_view body);
-  bool HandleUpdate(std::string_view object);
+  void CloseCallsExcept(SlotId remaining);
 
   EventLoop& loop_;
   DiscoveryListener& listener_;
   Counters& counters_;
   Address address_;
   std::string host_;
-  std::uint64_t revision_;
-  SlotMap<Call> calls_;  // The current call, and ended calls until the end of the turn.
-  SlotId call_;
-  Timer retry_timer_;
-  Timer watch_timeout_;
+  std::uint64_t revision_;  // Of the current list; 0 if it came from another address.
+  // The established watch or the call that has had no event yet, and ended calls until the end of the turn.
+  SlotMap<WatchCall> calls_;
+  SlotId watch_;  // The call that has delivered events; null if there is none.
+  Timer next_call_;
   Backoff backoff_;
+  UpdateDeadline deadline_;
   bool watching_ = false;
   bool response_due_ = false;  // The last call of Watch has had no update or failure yet.
-  Response response_;
   Micros last_event_at_;       // Over all calls; initially the time of the construction.
-  Micros call_started_at_{0};  // The start of the latest call.
-  // The time from which the platform assumes that the proxy knows the updates missed by the timed-out watch.
-  // 0: no watch has timed out since the last update, or there were too many timeouts to meet the deadline.
-  Micros notified_deadline_{0};
-  int consecutive_timeouts_ = 0;  // Since the last event.
-  JsonObjectFramer framer_;
-  http_parser parser_{};
-  http_parser_settings parser_settings_{};
 };
 
 }  // namespace stoatrun
--- /dev/null
+++ b/src/endpoint/watch_call.h
@@ -0,0 +1,100 @@
+// One call of the discovery service: an HTTP/1.1 long poll whose response carries one JSON object per update
+// of the endpoint list, and empty lines as heartbeats.
+//
+// All calls and callbacks happen on the event loop's thread; nothing throws.
+#ifndef STOATRUN_ENDPOINT_WATCH_CALL_H_
+#define STOATRUN_ENDPOINT_WATCH_CALL_H_
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/event_loop.h"
+#include "base/slot_map.h"
+#include "base/tcp_connection.h"
+#include "endpoint/endpoint_update.h"
+#include "endpoint/json_framing.h"
+
+namespace stoatrun {
+
+// Why a call has failed.
+enum class WatchFailure : std::uint8_t { kRejected, kEnded, kMalformed, kReset, kTimedOut };
+
+class WatchCall;
+
+// Receives the events of calls. It may close the call in any of them.
+class WatchCallHandler {
+ public:
+  virtual ~WatchCallHandler() = default;
+  // A complete event was received: a heartbeat, or an update that OnCallUpdate then passes on.
+  virtual void OnCallEvent(WatchCall& call) = 0;
+  virtual void OnCallUpdate(WatchCall& call, const EndpointUpdate& update) = 0;
+  // The service has not answered within WatchCall::kAnswerTimeout. The call is not closed.
+  virtual void OnCallUnanswered(WatchCall& call) = 0;
+  // The call has failed and is closed.
+  virtual void OnCallFailed(WatchCall& call, WatchFailure failure) = 0;
+};
+
+// A call, from Start to its failure or Close. It must stay allocated until a running callback has returned.
+class WatchCall : public TcpConnectionHandler {
+ public:
+  // The service handles calls sequentially, so an answer may take seconds.
+  static constexpr Micros kAnswerTimeout = std::chrono::milliseconds(3500);
+
+  // `host`: the value of the Host header. `loop` and `handler` must outlive the call.
+  WatchCall(SlotId id, EventLoop& loop, WatchCallHandler& handler, std::string host);
+
+  // Connects and requests the changes after `revision`; 0: the complete list.
+  void Start(const Address& address, std::uint64_t revision);
+  // Ends the call without a further callback.
+  void Close();
+
+  // The id that the constructor was given.
+  SlotId Id() const { return id_; }
+  // The value of the Host header, which identifies the address.
+  const std::string& Host() const { return host_; }
+  // The time of Start.
+  Micros StartedAt() const { return started_at_; }
+
+  void OnConnected(SlotId id) override;
+  void OnData(SlotId id) override;
+  void OnEnd(SlotId id, ConnectionEnd end) override;
+
+ private:
+  enum class Phase : std::uint8_t { kWaiting, kOverdue, kAnswered, kClosed };
+
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* data, std::size_t size);
+  static int OnMessageComplete(http_parser* parser);
+
+  void OnTimeout();
+  void Fail(WatchFailure failure);
+  void HandleHeaders();
+  void HandleBody(std::string_view body);
+  void HandleEvent();
+  bool HandleUpdate(std::string_view object);
+
+  const SlotId id_;
+  EventLoop& loop_;
+  WatchCallHandler& handler_;
+  const std::string host_;
+  TcpConnection connection_;
+  Timer timeout_;
+  Micros started_at_{0};
+  std::uint64_t revision_ = 0;  // Requested.
+  Phase phase_ = Phase::kWaiting;
+  bool rejected_ = false;   // The status is not 200.
+  bool ended_ = false;      // The response is complete.
+  bool malformed_ = false;  // The body can't be split into valid objects.
+  bool not_connected_ = false;
+  JsonObjectFramer framer_;
+  http_parser parser_{};
+  http_parser_settings parser_settings_{};
+};
+
+}  // namespace stoatrun
+
+#endif  // STOATRUN_ENDPOINT_WATCH_CALL_H_
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -142,6 +142,57 @@
   CHECK(fixture.Counts().endpoint_updates == 2);
 }
 
+// A call that is answered after this time must still bring the changes before the platform assumes that the
+// proxy knows them: 4 s after a reload, 6 s after a start or after a failure.
+constexpr int kSlowestAnswerMs = 2500;
+
+// Waits until the service has been called more than `calls` times. Returns the time until then, in steps of
+// 10 ms; `limit` if that does not happen.
+int TimeToCall(LoopbackFixture& fixture, const std::string& service, std::size_t calls, int limit) {
+  int waited = 0;
+  while (fixture.DiscoveryCallCount(service) <= calls && waited < limit) {
+    fixture.Play("wait 10");
+    waited += 10;
+  }
+  return waited;
+}
+
+// Guards against requests to endpoints that drain: in fleets of over a hundred relays the first call after a
+// reload used to be made up to 6 s later, and each further reload postponed it again.
+TEST_CASE("after a start and after reloads discovery is called in time, in a fleet of any size") {
+  const int relays = GENERATE(1, 3, 30, 205, 900);
+  const int seed = GENERATE(range(1, 6));
+  INFO(relays << " relays, seed " << seed);
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = relays, .seed = seed});
+  CHECK(TimeToCall(fixture, "discovery", 0, 6000) <= 6000 - kSlowestAnswerMs);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  const int reloads = GENERATE(1, 5);
+  int waited = 0;
+  for (int k = 1; k <= reloads && fixture.DiscoveryCallCount("discovery2") == 0; ++k) {
+    fixture.Play("reload discovery2");
+    waited += TimeToCall(fixture, "discovery2", 0, k < reloads ? 400 : 4000);
+  }
+  CHECK(waited <= 4000 - kSlowestAnswerMs);
+}
+
+// Guards against requests to endpoints that drain: after failed calls, relays of a large fleet used to wait
+// up to 6 s, so that discovery could be back for that long before they asked it.
+TEST_CASE("a call that fails is followed by the next in time, in a fleet of any size and after any failure") {
+  const int relays = GENERATE(1, 3, 30, 205, 900);
+  const int seed = GENERATE(range(1, 4));
+  const std::string failure =
+      GENERATE("discovery refuse\ndiscovery close", "discovery refuse\ndiscovery raw ]");
+  INFO(relays << " relays, seed " << seed << ", " << failure);
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = relays, .seed = seed});
+  while (!fixture.DiscoveryCallCount()) fixture.Play("wait 50");
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play(failure);
+  for (int k = 0; k < 8; ++k) {
+    const auto calls = fixture.DiscoveryCallCount();
+    CHECK(TimeToCall(fixture, "discovery", calls, 6000) <= 6000 - kSlowestAnswerMs);
+  }
+}
+
 // A request that is waiting for its next attempt must not be forwarded to an endpoint that has been reported
 // as draining in the meantime, regardless of how the update was received.
 TEST_CASE("an update after a timeout, an outage or a reload stops retries to a draining endpoint") {
--- a/tests/proxy/loopback_fixture.cpp
+++ b/tests/proxy/loopback_fixture.cpp
@@ -46,8 +46,8 @@
   }
   Config config = ParseConfig(
       R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery.port) +
-      R"(","limits":{"sockets":)" + std::to_string(options_.descriptor_limit) +
-      R"(},"seed":"7","known":{"revision":1,"complete":true,"members":[)" + members +
+      R"(","limits":{"sockets":)" + std::to_string(options_.descriptor_limit) + R"(},"seed":")" +
+      std::to_string(options_.seed) + R"(","known":{"revision":1,"complete":true,"members":[)" + members +
       R"(]},"settings":{"balancers":)" + std::to_string(options_.fleet_size) + R"(,"discovery":")" +
       options_.discovery_mode + '"' + std::string(kSettings) + "}");
   if (options_.accept_fd >= 0) config.accept_fd = options_.accept_fd;
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -51,6 +51,7 @@
   int fleet_size = 1;                        // Proxies in the fleet, including this one.
   int accept_fd = -1;                        // A listening socket that the proxy inherits; -1: it binds one.
   std::string discovery_mode = "subscribe";  // The value of the setting `discovery`.
+  int seed = 7;                              // Seeds the proxy's random numbers.
   FleetClient* fleet = nullptr;              // The rest of the fleet; may be null.
 };
 
@@ -68,8 +69,10 @@
   const Counters& Counts() const { return proxy_->Counts(); }
   // The proxy under test.
   const Proxy& ProxyUnderTest() const { return *proxy_; }
-  // The number of requests that discovery has received.
-  std::size_t DiscoveryCallCount() const { return discoveries_.at("discovery").connections.size(); }
+  // The number of requests that a discovery service has received.
+  std::size_t DiscoveryCallCount(const std::string& discovery = "discovery") const {
+    return discoveries_.at(discovery).connections.size();
+  }
 
  private:
   // One line of a script, split into words.
