Keep a call to discovery open that is not answered in time, beside its repetition

Callers were connected to a draining endpoint for as long as discovery was slow: relays did not learn of the drain at all. Cause: a call was closed after 3.5 s without an answer and made anew, so a service that needs longer (queue and handling) never answered any, and was kept busy with calls that nobody waited for.

--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -134,8 +134,6 @@
 
 void DiscoveryClient::OnCallUnanswered(WatchCall& call) {
   deadline_.OnCallUnanswered(loop_.Now());
-  call.Close();
-  calls_.Erase(call.Id());
   ScheduleRetry(call, WatchFailure::kTimedOut);
 }
 
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -70,7 +70,8 @@
   Address address_;
   std::string host_;
   std::uint64_t revision_;  // Of the current list; 0 if it came from another address.
-  // The established watch or the call that has had no event yet, and ended calls until the end of the turn.
+  // The established watch, or the calls that have had no event yet: there are several if one was not answered
+  // in time.
   SlotMap<WatchCall> calls_;
   SlotId watch_;  // The call that has delivered events; null if there is none.
   Timer next_call_;
--- a/src/endpoint/watch_call.h
+++ b/src/endpoint/watch_call.h
@@ -32,7 +32,8 @@
   // A complete event was received: a heartbeat, or an update that OnCallUpdate then passes on.
   virtual void OnCallEvent(WatchCall& call) = 0;
   virtual void OnCallUpdate(WatchCall& call, const EndpointUpdate& update) = 0;
-  // The service has not answered within WatchCall::kAnswerTimeout. The call is not closed.
+  // The service has not answered within WatchCall::kAnswerTimeout. The call goes on: the answer may be near,
+  // and a service that handles abandoned calls too would only get another one.
   virtual void OnCallUnanswered(WatchCall& call) = 0;
   // The call has failed and is closed.
   virtual void OnCallFailed(WatchCall& call, WatchFailure failure) = 0;
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -14,6 +14,10 @@
     R"({\n  "revision": 2,\n  "later": "}]\"{",\n  "complete": false,\n  "members": [\n    {)"
     R"("id": "s-1", "phase": "draining", "later": {"a": [1, {}]}}\n  ]\n})";
 
+// The same as a response that goes on.
+constexpr std::string_view kDrainResponse = R"(HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n)"
+                                            R"({"revision":2,"members":[{"id":"s-1","phase":"draining"}]}\n)";
+
 void CheckDrained(LoopbackFixture& fixture) {
   CHECK(fixture.Counts().endpoint_updates == 1);
   fixture.Play("a send OPEN 1 k c=watch,d=300\nwait 300\na expect BUSY*\ns-1 legs 0");
@@ -193,6 +197,25 @@
   }
 }
 
+// Guards against relays that never learn of a drain: a service that needs more than 3.5 s for each answer
+// used to be given up on and called again, without end.
+TEST_CASE("a slow answer is used even if the call has been repeated in the meantime") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
+  fixture.Play("discovery mute");
+  TimeToCall(fixture, "discovery", 0, 6000);
+  CHECK(TimeToCall(fixture, "discovery", 1, 6000) <= 4500);
+  SECTION("the first call is answered, and the second is closed") {
+    fixture.Play("discovery plain-first " + std::string(kDrainResponse));
+    CheckDrained(fixture);
+    fixture.Play("discovery expect-end");
+  }
+  SECTION("the second call is answered") {
+    fixture.Play("discovery plain " + std::string(kDrainResponse));
+    CheckDrained(fixture);
+  }
+  CHECK(fixture.Counts().watch_failures == 1);
+}
+
 // A request that is waiting for its next attempt must not be forwarded to an endpoint that has been reported
 // as draining in the meantime, regardless of how the update was received.
 TEST_CASE("an update after a timeout, an outage or a reload stops retries to a draining endpoint") {
--- a/tests/proxy/loopback_commands.cpp
+++ b/tests/proxy/loopback_commands.cpp
@@ -132,15 +132,11 @@
 
 const std::map<std::string_view, LoopbackFixture::ServerHandler>& LoopbackFixture::DiscoveryCommands() {
   static const std::map<std::string_view, ServerHandler> kCommands{
-      {"refuse", &LoopbackFixture::SetDiscoveryMode},
-      {"serve", &LoopbackFixture::SetDiscoveryMode},
-      {"mute", &LoopbackFixture::SetDiscoveryMode},
-      {"send", &LoopbackFixture::SendChunk},
-      {"raw", &LoopbackFixture::SendChunk},
-      {"plain", &LoopbackFixture::SendPlain},
-      {"watches", &LoopbackFixture::AwaitWatches},
-      {"asked", &LoopbackFixture::CheckWatchRequest},
-      {"expect-end", &LoopbackFixture::AwaitWatchEnd},
+      {"refuse", &LoopbackFixture::SetDiscoveryMode}, {"serve", &LoopbackFixture::SetDiscoveryMode},
+      {"mute", &LoopbackFixture::SetDiscoveryMode},   {"send", &LoopbackFixture::SendChunk},
+      {"raw", &LoopbackFixture::SendChunk},           {"plain", &LoopbackFixture::SendPlain},
+      {"plain-first", &LoopbackFixture::SendPlain},   {"watches", &LoopbackFixture::AwaitWatches},
+      {"asked", &LoopbackFixture::CheckWatchRequest}, {"expect-end", &LoopbackFixture::AwaitWatchEnd},
       {"close", &LoopbackFixture::CloseWatch},
   };
   return kCommands;
@@ -164,7 +160,8 @@
 }
 
 void LoopbackFixture::SendPlain(LoopbackServer& discovery, const Step& step) {
-  LastWatch(discovery).Send(Unescape(step.argument));
+  LoopbackPeer& last = LastWatch(discovery);
+  (step.verb == "plain-first" ? *discovery.connections.front() : last).Send(Unescape(step.argument));
 }
 
 void LoopbackFixture::AwaitWatches(LoopbackServer& discovery, const Step& step) {
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -22,6 +22,7 @@
 //   discovery refuse | serve            answers 503; serves again
 //   discovery raw TEXT    sends a part of a line; \n stands for a line end
 //   discovery mute | plain TEXT         accepts calls without an answer; sends TEXT with \r and \n replaced
+//   discovery plain-first TEXT          the same, to the first call
 //   discovery watches N | asked TEXT | expect-end   checks the open watches; discovery2 has the same steps
 //   reload discovery2     applies a configuration with the address of discovery2
 //   wait MS | drain | stopped           advances the clock; starts the graceful shutdown (SIGTERM); has ended
