Read what has arrived before a watch counts as silent

Callers were connected to a draining endpoint for up to 3.6 s after their relay had been stopped for 3 s, though the drain lay in its socket. Cause: epoll_wait returns EINTR after SIGCONT, so the first turn runs timers only; the watch's timeout of 2.5 s had passed, and the watch was closed with all that it held unread. The renewed watch then waited for its turn among the fleet's calls. Now the timeout reads the connection first, and an event that it finds keeps the watch.

--- a/src/endpoint/watch_call.cpp
+++ b/src/endpoint/watch_call.cpp
@@ -65,6 +65,9 @@
 
 void WatchCall::OnTimeout() {
   if (not_connected_) return Fail(WatchFailure::kReset);
+  // After a pause of the process, the timeout may run before what arrived meanwhile has been read.
+  connection_.ReadNow();
+  if (timeout_.IsSet() || phase_ == Phase::kClosed) return;
   if (phase_ != Phase::kWaiting) return Fail(WatchFailure::kTimedOut);
   phase_ = Phase::kOverdue;
   timeout_.Set(started_at_ + kMaxAnswerTime);
