Keep the old watch after a reload until the new address sends its first event

Callers were connected to endpoints whose drain the old discovery address still told: a reload closed its watch at once, so that from SIGHUP to the answer of the new address (1.5 s and the answer, in a large fleet) no update arrived at all. Now the old watch stays in use until the new address sends its first event; its revisions are not mixed with the new one's.

--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -61,7 +61,6 @@
   // Backoff from failures at the old address must not delay calls to the new one.
   backoff_.Reset();
   deadline_.OnReload(loop_.Now());
-  watch_ = {};
   CloseCallsExcept(watch_);
   if (watching_) ScheduleFirstCall();
 }
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -2,9 +2,10 @@
 // out.
 //
 // Calls are spread over time, because all proxies share the service, but never so far that an answer could
-// arrive after the platform assumes that the proxy knows the changes (see UpdateDeadline). The current
-// endpoint list remains in effect while there is no watch. All calls and callbacks happen on the event loop's
-// thread; nothing throws.
+// arrive after the platform assumes that the proxy knows the changes (see UpdateDeadline). After a reload the
+// old address's watch stays in use until the new address sends its first event. The current endpoint list
+// remains in effect while there is no watch. All calls and callbacks happen on the event loop's thread;
+// nothing throws.
 #ifndef STOATRUN_ENDPOINT_DISCOVERY_CLIENT_H_
 #define STOATRUN_ENDPOINT_DISCOVERY_CLIENT_H_
 
@@ -70,8 +71,8 @@
   Address address_;
   std::string host_;
   std::uint64_t revision_;  // Of the current list; 0 if it came from another address.
-  // The established watch, or the calls that have had no event yet: there are several if one was not answered
-  // in time.
+  // The established watch and the calls that have had no event yet. There are several calls if one was not
+  // answered in time, or after a reload.
   SlotMap<WatchCall> calls_;
   SlotId watch_;  // The call that has delivered events; null if there is none.
   Timer next_call_;
