Late-notice trials in short functions; a test of calls without a free descriptor

The new test holds on the code before: a call for which no socket can be opened is repeated within the bound in fleets of 1 and 205.

--- a/fault_injection/late_notice/late_notice.cpp
+++ b/fault_injection/late_notice/late_notice.cpp
@@ -181,66 +181,81 @@
   void BeginFault() {
     fault_began_ = true;
     calls_before_fault_ = discovery_.Calls();
-    Micros change_delay = kChangeDelay;
-    Micros known_at = loop_.Now() + kChangeDelay + kKnownAfterChange;
+    if (const auto how = BrokenWatches()) discovery_.BreakWatches(*how);
+    DisturbService();
+    DisturbRelays();
+    const Micros known_at = loop_.Now() + KnownAfterFault();
+    for (const auto& relay : relays_) {
+      const bool reloads = relay->known_at.count() > 0;
+      relay->known_at = reloads ? std::min(relay->known_at, known_at) : known_at;
+    }
+    loop_.RunAfter(ChangeDelay(), [this] { ChangeList(); });
+    loop_.RunAfter(KnownAfterFault() + kObservation, [this] { loop_.Stop(); });
+  }
+
+  std::optional<WatchBreak> BrokenWatches() const {
     switch (trial_.fault) {
-      case NoticeFault::kNone:
-        break;
-      case NoticeFault::kReload:
-      case NoticeFault::kReloadSeries:
-        BeginReloads();
-        break;
       case NoticeFault::kSilent:
-        discovery_.BreakWatches(WatchBreak::kSilent);
-        break;
+        return WatchBreak::kSilent;
       case NoticeFault::kEnded:
-        discovery_.BreakWatches(WatchBreak::kEnded);
-        break;
+        return WatchBreak::kEnded;
       case NoticeFault::kMalformed:
-        discovery_.BreakWatches(WatchBreak::kMalformed);
-        break;
-      case NoticeFault::kSlow:
-        discovery_.SetExtraLatency(kSlowAnswer);
-        discovery_.BreakWatches(WatchBreak::kReset);
-        break;
+        return WatchBreak::kMalformed;
       case NoticeFault::kReset:
-      case NoticeFault::kCrowded:
-        discovery_.BreakWatches(WatchBreak::kReset);
-        break;
       case NoticeFault::kRefused:
-        discovery_.RefuseCalls(true);
-        discovery_.BreakWatches(WatchBreak::kReset);
-        loop_.RunAfter(kRefusal, [this] { discovery_.RefuseCalls(false); });
-        break;
+      case NoticeFault::kSlow:
+      case NoticeFault::kCrowded:
+      case NoticeFault::kLateList:
+        return WatchBreak::kReset;
+      default:
+        return std::nullopt;
+    }
+  }
+
+  void DisturbService() {
+    if (trial_.fault == NoticeFault::kSlow) discovery_.SetExtraLatency(kSlowAnswer);
+    if (trial_.fault == NoticeFault::kRefused) {
+      discovery_.RefuseCalls(true);
+      loop_.RunAfter(kRefusal, [this] { discovery_.RefuseCalls(false); });
+    }
+    if (trial_.fault == NoticeFault::kOutage) {
+      discovery_.BeginOutage();
+      loop_.RunAfter(kOutage, [this] { discovery_.EndOutage(); });
+    }
+  }
+
+  void DisturbRelays() {
+    if (trial_.fault == NoticeFault::kReload) BeginReloads(1);
+    if (trial_.fault == NoticeFault::kReloadSeries) BeginReloads(kSeriesReloads);
+    if (trial_.fault == NoticeFault::kNewProcess) RestartAll();
+    if (trial_.fault == NoticeFault::kStall) {
+      SignalAll(SIGSTOP);
+      resumed_at_ = loop_.Now() + kStall;
+      loop_.RunAfter(kStall, [this] { SignalAll(SIGCONT); });
+    }
+  }
+
+  // From the fault to the change.
+  Micros ChangeDelay() const {
+    switch (trial_.fault) {
       case NoticeFault::kLateList:
-        discovery_.BreakWatches(WatchBreak::kReset);
-        change_delay = kListDelay;
-        known_at = loop_.Now() + change_delay + kKnownAfterChange;
-        break;
+        return kListDelay;
       case NoticeFault::kOutage:
-        discovery_.BeginOutage();
-        change_delay = kOutage / 2;
-        loop_.RunAfter(kOutage, [this] { discovery_.EndOutage(); });
-        // What an agent has at the return counts at once.
-        known_at = loop_.Now() + kOutage + (trial_.pushed ? Micros(0) : kKnownAfterChange);
-        break;
-      case NoticeFault::kNewProcess:
-        RestartAll();
-        known_at = loop_.Now() + (trial_.pushed ? Micros(0) : kKnownAfterChange);
-        break;
+        return kOutage / 2;
       case NoticeFault::kStall:
-        SignalAll(SIGSTOP);
-        change_delay = kStall / 3;
-        loop_.RunAfter(kStall, [this] { SignalAll(SIGCONT); });
-        resumed_at_ = loop_.Now() + kStall;
-        break;
+        return kStall / 3;
+      default:
+        return kChangeDelay;
     }
-    for (const auto& relay : relays_) {
-      const bool reloads = relay->known_at.count() > 0;
-      relay->known_at = reloads ? std::min(relay->known_at, known_at) : known_at;
-    }
-    loop_.RunAfter(change_delay, [this] { ChangeList(); });
-    loop_.RunAfter(known_at - loop_.Now() + kObservation, [this] { loop_.Stop(); });
+  }
+
+  // From the fault to the time from which the change counts as known to a relay to which it was not written.
+  // What an agent has at the end of an outage, or at the start of a process, counts at once.
+  Micros KnownAfterFault() const {
+    const Micros after_service = trial_.pushed ? Micros(0) : kKnownAfterChange;
+    if (trial_.fault == NoticeFault::kOutage) return kOutage + after_service;
+    if (trial_.fault == NoticeFault::kNewProcess) return after_service;
+    return ChangeDelay() + kKnownAfterChange;
   }
 
   void ChangeList() {
@@ -248,9 +263,8 @@
     discovery_.Publish();
   }
 
-  void BeginReloads() {
+  void BeginReloads(int reloads) {
     discovery_.FreezeOriginalAddress();
-    const int reloads = trial_.fault == NoticeFault::kReloadSeries ? kSeriesReloads : 1;
     for (std::size_t index = 0; index < relays_.size(); ++index) {
       const Micros first = Random(trial_.reload_spread);
       relays_[index]->known_at = loop_.Now() + first + kKnownAfterReload;
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -197,6 +197,17 @@
   }
 }
 
+// Guards against a relay that stays without updates after a moment in which no socket could be opened.
+TEST_CASE("a call for which no socket can be opened is repeated in time") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery close\nexhaust a wait 3500");
+  CHECK(fixture.Counts().watch_failures >= 2);
+  const auto calls = fixture.DiscoveryCallCount();
+  CHECK(TimeToCall(fixture, "discovery", calls, 6000) <= 6000 - kSlowestAnswerMs);
+}
+
 // Guards against relays that never learn of a drain: a service that needs more than 3.5 s for each answer
 // used to be given up on and called again, without end.
 TEST_CASE("a slow answer is used even if the call has been repeated in the meantime") {
