--- a/fault_injection/late_notice/late_notice.cpp
+++ b/fault_injection/late_notice/late_notice.cpp
@@ -87,7 +87,8 @@
     settings.relays = trial.relays;
     settings.answers_held_calls = trial.pushed;
     if (trial.pushed) return settings;
-    const Micros work = trial.fault == NoticeFault::kCrowded ? kCrowdedFleetWork : kFleetWork;
+    Micros work = trial.fault == NoticeFault::kCrowded ? kCrowdedFleetWork : kFleetWork;
+    if (trial.fleet_work.count() > 0) work = trial.fleet_work;
     // The processes stand for the whole fleet, so that its calls take as long as they would together.
     settings.service_time = work / std::max<std::size_t>(trial.relays, 1);
     if (trial.fleet_size < 10) settings.service_time = milliseconds(40);
--- a/fault_injection/late_notice/late_notice.h
+++ b/fault_injection/late_notice/late_notice.h
@@ -63,6 +63,7 @@
   std::size_t fleet_size = 3;  // The setting `balancers`; the service has that many callers' load.
   std::size_t endpoints = 2;   // Entries of the list. Two of them accept requests.
   std::chrono::milliseconds reload_spread{1500};  // From the first relay's reload to the last one's.
+  std::chrono::milliseconds fleet_work{0};  // Of the service, for one call of each relay; 0: by the fault.
   std::uint64_t seed = 1;
   std::string program;  // Path of the relay program.
   std::string folder;   // For settings files and logs; must exist.
--- a/fault_injection/main.cpp
+++ b/fault_injection/main.cpp
@@ -192,6 +192,7 @@
   notice->add_option("--fleet", trial.fleet_size, "the relays' setting `balancers`");
   notice->add_option("--endpoints", trial.endpoints, "entries of the endpoint list");
   notice->add_option("--reload-spread-ms", trial.reload_spread, "from the first reload to the last");
+  notice->add_option("--fleet-work-ms", trial.fleet_work, "time of the service for one call of each relay");
   notice->add_option("--seed", trial.seed, "seed of the relays and of the trial");
   notice->add_option("--program", trial.program, "path of the relay program")->required();
   notice->add_option("--folder", trial.folder,
--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -140,8 +140,11 @@
   const bool was_watch = call.Id() == watch_;
   if (was_watch) watch_ = {};
   calls_.Erase(call.Id());
-  // A reload has already scheduled the first call to the new address.
-  if (call.Host() != host_) return;
+  if (call.Host() != host_) {
+    // A reload has already scheduled the first call to the new address.
+    LogLine(Level::kInfo, "old watch ended").Reason(LogName(failure));
+    return;
+  }
   if (!was_watch) deadline_.OnCallFailed(call.StartedAt());
   ScheduleRetry(call, failure);
 }
