Reject requests while the endpoint list is overdue, for up to three seconds

Callers could still be connected to a draining endpoint when discovery needs longer for the calls of the whole fleet than the time after which a change counts as known: no pacing of calls can keep the bound then. Now a relay whose list is overdue (4 s after a reload, 6 s after the last event, 2 s after a call that was not answered) makes no attempt and answers BUSY, for at most 3 s; after that discovery is taken to be out of order and the present list stays in effect. Calls that fail show an outage, in which nothing can be known, and postpone it. Off where lists are pushed.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -23,6 +23,7 @@
       .Field("attempts_timed_out", counters.attempts_timed_out)
       .Field("attempts_rejected", counters.attempts_rejected)
       .Field("attempts_failed", counters.attempts_failed)
+      .Field("attempts_denied_by_overdue_list", counters.attempts_denied_by_overdue_list)
       .Field("served", counters.served)
       .Field("endpoint_migrated", counters.migrated_by_endpoint)
       .Field("silent_endpoints", counters.silent_endpoints)
--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -95,6 +95,15 @@
   if (std::exchange(response_due_, false)) listener_.OnWatchFailed();
 }
 
+bool DiscoveryClient::IsListOverdue() {
+  if (!watching_ || !deadline_.IsOverdue(loop_.Now())) return false;
+  if (!std::exchange(overdue_logged_, true)) {
+    LogLine(Level::kWarn, "endpoint list overdue, requests are rejected")
+        .Field("list_age_ms", ToMilliseconds(loop_.Now() - last_event_at_));
+  }
+  return true;
+}
+
 void DiscoveryClient::StartCall() {
   ++counters_.watch_calls;
   calls_.Add(loop_, *this, host_).Start(address_, revision_);
@@ -115,6 +124,7 @@
   // The old address's watch does not tell whether the new address has changes.
   if (call.Host() != host_) return;
   deadline_.OnEvent(loop_.Now());
+  overdue_logged_ = false;
   if (call.Id() == watch_) return;
   watch_ = call.Id();
   next_call_.Cancel();
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -53,6 +53,9 @@
   // Switches to another address. The current endpoint list remains in effect until the new address responds.
   void ChangeAddress(const Address& address, std::string host);
 
+  // Whether the list may lack changes that the platform assumes the proxy to know; see UpdateDeadline.
+  bool IsListOverdue();
+
   void OnCallEvent(WatchCall& call) override;
   void OnCallUpdate(WatchCall& call, const EndpointUpdate& update) override;
   void OnCallUnanswered(WatchCall& call) override;
@@ -79,8 +82,9 @@
   Backoff backoff_;
   UpdateDeadline deadline_;
   bool watching_ = false;
-  bool response_due_ = false;  // The last call of Watch has had no update or failure yet.
-  Micros last_event_at_;       // Over all calls; initially the time of the construction.
+  bool overdue_logged_ = false;  // Since the last event.
+  bool response_due_ = false;    // The last call of Watch has had no update or failure yet.
+  Micros last_event_at_;         // Over all calls; initially the time of the construction.
 };
 
 }  // namespace stoatrun
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -34,6 +34,15 @@
   // A call has not been answered in time.
   void OnCallUnanswered(Micros now) { unanswered_at_ = now; }
 
+  // Whether changes may count as known that have not been received. This ends after kMaxOverdue: from then on
+  // the service is assumed to be out of order, and the current list is the best that there is.
+  bool IsOverdue(Micros now) const {
+    Micros deadline = std::max({list_current_at_ + kKnownAfterChange, unavailable_at_ + kKnownAfterChange,
+                                unanswered_at_ + kKnownAfterUnansweredCall});
+    if (reload_deadline_) deadline = std::min(deadline, *reload_deadline_);
+    return now >= deadline && now < deadline + kMaxOverdue;
+  }
+
   // The time by which the next call must begin, so that it can be answered before the deadline. If that is no
   // longer possible, the deadline is the one of the changes made since the service was last unavailable.
   Micros LatestCall(Micros now) const {
@@ -49,6 +58,7 @@
   static constexpr Micros kKnownAfterChange = std::chrono::seconds(6);
   static constexpr Micros kKnownAfterReload = std::chrono::seconds(4);
   static constexpr Micros kKnownAfterUnansweredCall = std::chrono::seconds(2);
+  static constexpr Micros kMaxOverdue = std::chrono::seconds(3);
   // Kept free for the answer of a service that is slow, or that all proxies call at the same time.
   static constexpr Micros kAnswerTime = std::chrono::milliseconds(2500);
   // Where less time is left in all.
--- a/src/proxy/balancer_mapping.cpp
+++ b/src/proxy/balancer_mapping.cpp
@@ -29,6 +29,7 @@
     case AttemptEnd::kAbandoned:
       return balancer::Outcome::kCancelled;
     case AttemptEnd::kQuotaExhausted:
+    case AttemptEnd::kListOverdue:
       return balancer::Outcome::kNotSent;
   }
   return balancer::Outcome::kUnknown;
--- a/src/proxy/fleet_quota_guard.cpp
+++ b/src/proxy/fleet_quota_guard.cpp
@@ -25,6 +25,7 @@
       return FleetClient::EndpointCondition::kFailing;
     case AttemptEnd::kAbandoned:
     case AttemptEnd::kQuotaExhausted:
+    case AttemptEnd::kListOverdue:
       break;
   }
   return std::nullopt;
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -164,6 +164,12 @@
         ToAttemptEnded(session_id, endpoint, AttemptEnd::kNotConnected, RequestState::kFinished, {}));
     return;
   }
+  if (IsListOverdue()) {
+    ++deps_.counters.attempts_denied_by_overdue_list;
+    deps_.balancer.HandleEvent(
+        ToAttemptEnded(session_id, endpoint, AttemptEnd::kListOverdue, RequestState::kOpen, {}));
+    return;
+  }
   if (const auto refusal = deps_.fleet.TryAcquireAttempt(*session, endpoint)) {
     ++deps_.counters.attempts_denied_by_quota;
     deps_.balancer.HandleEvent(ToAttemptEnded(session_id, endpoint, *refusal, RequestState::kOpen, {}));
@@ -180,6 +186,12 @@
       .Field("endpoint", deps_.upstream.Endpoints().IdOf(endpoint));
 }
 
+// What an agent has counts as known at once, so that there is no time in which the list becomes overdue. A
+// silent agent is down and has learned nothing.
+bool SessionController::IsListOverdue() {
+  return deps_.site.balancer.list_mode == balancer::ListMode::kSubscribed && deps_.discovery.IsListOverdue();
+}
+
 void SessionController::CancelAttempt(SlotId session_id, std::uint32_t attempt_number) {
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr || !session->IsPending() || !session->attempt ||
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -21,8 +21,9 @@
 
 namespace stoatrun {
 
-// How an attempt ended: one value for each row of the protocol's outcome table, and kQuotaExhausted for an
-// attempt that was not started because a fleet-wide quota was exhausted. Logs contain the numeric value, so
+// How an attempt ended: one value for each row of the protocol's outcome table, and for attempts that were
+// not started: kQuotaExhausted, as a fleet-wide quota was exhausted, and kListOverdue, as the endpoint may be
+// draining without the proxy's knowledge. Logs contain the numeric value, so
 // the order must not change.
 enum class AttemptEnd : std::uint8_t {
   kServed,
@@ -33,7 +34,8 @@
   kBroken,        // The connection was lost after the request line was written.
   kTimedOut,
   kAbandoned,  // Cancelled by the proxy.
-  kQuotaExhausted
+  kQuotaExhausted,
+  kListOverdue
 };
 
 // The request that an attempt sends. The views must stay valid until the attempt has connected.
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -197,6 +197,37 @@
   }
 }
 
+// Guards against requests to an endpoint that drains while a crowded discovery has not answered for longer
+// than the platform allows; and against rejections without end if it never answers.
+TEST_CASE("while the list is overdue requests are rejected, and no longer than for three seconds") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery mute\nreload discovery2\nwait 3900");
+  fixture.Play(
+      "a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1*\ns-1 send UP r1\na expect UP r1\nwait 150");
+  fixture.Play("b send OPEN 2 k c=watch,d=2000\nb expect BUSY*\ns-1 legs 1");
+  CHECK(fixture.Counts().attempts_denied_by_overdue_list == 1);
+  SECTION("until discovery answers") {
+    fixture.Play(R"(discovery2 plain HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{"revision":1}\n)");
+  }
+  SECTION("or for three seconds") { fixture.Play("wait 3000"); }
+  fixture.Play("c send OPEN 3 k c=watch,d=2000\ns-1#2 expect OPEN 3*");
+}
+
+// Guards against rejections during an outage, in which nothing can be known.
+TEST_CASE("while calls to discovery fail the list stays in effect, and is not overdue") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery refuse\ndiscovery close");
+  for (int k = 1; k <= 10; ++k) {
+    const std::string number = std::to_string(k);
+    fixture.Play("wait 1000\nc" + number + " send OPEN " + number + " k c=watch,d=2000\ns-1#" + number +
+                 " expect OPEN " + number + "*\ns-1#" + number + " send UP r\nc" + number + " expect UP r");
+  }
+}
+
 // Guards against a relay that stays without updates after a moment in which no socket could be opened.
 TEST_CASE("a call for which no socket can be opened is repeated in time") {
   LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
