--- a/fault_injection/late_notice/late_notice.cpp
+++ b/fault_injection/late_notice/late_notice.cpp
@@ -33,7 +33,7 @@
 constexpr Micros kRequestDelay = milliseconds(2);  // On loopback a connection is established within it.
 constexpr Micros kWatchPollInterval = milliseconds(100), kWatchTimeout = seconds(30);
 constexpr Micros kChangeDelay = milliseconds(20);  // From the fault to the change.
-constexpr Micros kRefusal = seconds(2), kOutage = seconds(8), kStall = seconds(3), kListDelay = seconds(2);
+constexpr Micros kRejection = seconds(2), kOutage = seconds(8), kStall = seconds(3), kListDelay = seconds(2);
 constexpr Micros kSeriesInterval = milliseconds(800);
 constexpr int kSeriesReloads = 5;
 constexpr Micros kObservation = milliseconds(4000);  // After the last relay's change counts as known.
@@ -67,7 +67,7 @@
       std::ofstream(relays_.back()->files.operator_file).flush();
       discovery_.Listen(index, ServiceAddress::kOriginal, DiscoveryIp(index, ServiceAddress::kOriginal),
                         kDiscoveryPort);
-      discovery_.Listen(index, ServiceAddress::kMoved, DiscoveryIp(index, ServiceAddress::kMoved),
+      discovery_.Listen(index, ServiceAddress::kNew, DiscoveryIp(index, ServiceAddress::kNew),
                         kDiscoveryPort);
     }
     for (std::size_t endpoint = 0; endpoint < kServingEndpoints; ++endpoint) ListenAsEndpoint(endpoint);
@@ -85,7 +85,7 @@
   static SharedDiscoverySettings DiscoverySettings(const NoticeTrial& trial) {
     SharedDiscoverySettings settings;
     settings.relays = trial.relays;
-    settings.answers_held_calls = trial.pushed;
+    settings.answers_queued_calls = trial.pushed;
     if (trial.pushed) return settings;
     Micros work = trial.fault == NoticeFault::kCrowded ? kCrowdedFleetWork : kFleetWork;
     if (trial.fleet_work.count() > 0) work = trial.fleet_work;
@@ -96,7 +96,7 @@
   }
 
   std::string DiscoveryIp(std::size_t relay, ServiceAddress address) const {
-    return address == ServiceAddress::kMoved ? network_.DuplicateIp(relay) : network_.DiscoveryIp(relay);
+    return address == ServiceAddress::kNew ? network_.DuplicateIp(relay) : network_.DiscoveryIp(relay);
   }
 
   // ---- lists and settings ----
@@ -148,7 +148,7 @@
   }
 
   void Reload(std::size_t index) {
-    WriteConfig(index, ServiceAddress::kMoved);
+    WriteConfig(index, ServiceAddress::kNew);
     relays_[index]->process.Signal(SIGHUP);
   }
 
@@ -203,7 +203,7 @@
       case NoticeFault::kMalformed:
         return WatchBreak::kMalformed;
       case NoticeFault::kReset:
-      case NoticeFault::kRefused:
+      case NoticeFault::kRejected:
       case NoticeFault::kSlow:
       case NoticeFault::kCrowded:
       case NoticeFault::kLateList:
@@ -215,9 +215,9 @@
 
   void DisturbService() {
     if (trial_.fault == NoticeFault::kSlow) discovery_.SetExtraLatency(kSlowAnswer);
-    if (trial_.fault == NoticeFault::kRefused) {
-      discovery_.RefuseCalls(true);
-      loop_.RunAfter(kRefusal, [this] { discovery_.RefuseCalls(false); });
+    if (trial_.fault == NoticeFault::kRejected) {
+      discovery_.RejectCalls(true);
+      loop_.RunAfter(kRejection, [this] { discovery_.RejectCalls(false); });
     }
     if (trial_.fault == NoticeFault::kOutage) {
       discovery_.BeginOutage();
--- a/fault_injection/late_notice/late_notice.h
+++ b/fault_injection/late_notice/late_notice.h
@@ -21,7 +21,7 @@
   kReset,         // All watches are reset.
   kEnded,         // All watches end.
   kMalformed,     // All watches send something malformed.
-  kRefused,       // All watches are reset, and calls are answered 503 for 2 s.
+  kRejected,      // All watches are reset, and calls are answered 503 for 2 s.
   kSlow,          // All watches are reset, and each answer takes 2.5 s.
   kCrowded,       // All watches are reset; the calls of the whole fleet keep the service busy for 5.5 s.
   kOutage,        // The service is down for 8 s; the change is made meanwhile.
@@ -43,7 +43,7 @@
     {"reset", NoticeFault::kReset},
     {"ended", NoticeFault::kEnded},
     {"malformed", NoticeFault::kMalformed},
-    {"refused", NoticeFault::kRefused},
+    {"rejected", NoticeFault::kRejected},
     {"slow", NoticeFault::kSlow},
     {"crowded", NoticeFault::kCrowded},
     {"outage", NoticeFault::kOutage},
--- a/fault_injection/late_notice/shared_discovery.cpp
+++ b/fault_injection/late_notice/shared_discovery.cpp
@@ -51,9 +51,9 @@
   ++calls_;
   watch->called_at = loop_.Now();
   watch->state = State::kQueued;
-  if (refusing_) return Reject(watch);
+  if (rejecting_) return Reject(watch);
   queue_.push_back(watch);
-  if (down_ && !settings_.answers_held_calls) {
+  if (down_ && !settings_.answers_queued_calls) {
     loop_.RunAfter(settings_.outage_timeout, [this, watch] {
       if (watch->state != State::kQueued) return;
       std::erase(queue_, watch);
@@ -91,7 +91,7 @@
   watch->state = State::kWatching;
   longest_answer_ = std::max(longest_answer_, loop_.Now() - watch->called_at);
   Write(*watch, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
-  if (watch->address == ServiceAddress::kMoved || !original_frozen_) WriteList(*watch);
+  if (watch->address == ServiceAddress::kNew || !original_frozen_) WriteList(*watch);
 }
 
 void SharedDiscovery::Reject(const WatchPtr& watch) {
@@ -121,7 +121,7 @@
 void SharedDiscovery::BeginOutage() {
   down_ = true;
   // The watches at an agent stay open and silent.
-  BreakWatches(settings_.answers_held_calls ? WatchBreak::kSilent : WatchBreak::kReset);
+  BreakWatches(settings_.answers_queued_calls ? WatchBreak::kSilent : WatchBreak::kReset);
 }
 
 void SharedDiscovery::EndOutage() {
--- a/fault_injection/late_notice/shared_discovery.h
+++ b/fault_injection/late_notice/shared_discovery.h
@@ -18,7 +18,7 @@
 namespace stoatrun::fault_injection {
 
 // Which of the service's two addresses a relay has called: the original one, or the one that a reload names.
-enum class ServiceAddress : std::uint8_t { kOriginal, kMoved };
+enum class ServiceAddress : std::uint8_t { kOriginal, kNew };
 
 // How the open watches are broken.
 enum class WatchBreak : std::uint8_t { kSilent, kReset, kEnded, kMalformed };
@@ -30,7 +30,7 @@
   Micros extra_latency{0};  // See SetExtraLatency.
   // How long a call may wait in the queue, or while the service is down, before it is answered 503.
   Micros queue_timeout = std::chrono::seconds(3), outage_timeout = std::chrono::seconds(2);
-  bool answers_held_calls = false;  // Calls made during an outage are answered at its end (an agent).
+  bool answers_queued_calls = false;  // Calls made during an outage are answered at its end (an agent).
 };
 
 // Runs on the harness's loop; not thread-safe.
@@ -49,20 +49,24 @@
   void Publish();
   // Lists and changes are no longer told at the original address; its watches stay open with heartbeats.
   void FreezeOriginalAddress() { original_frozen_ = true; }
+  // Breaks the open watches in the same way, without effect on later calls.
   void BreakWatches(WatchBreak how);
-  // Calls that begin from now to RefuseCalls(false) are answered 503 at once.
-  void RefuseCalls(bool refuse) { refusing_ = refuse; }
+  // Calls that begin from now to RejectCalls(false) are answered 503 at once.
+  void RejectCalls(bool reject) { rejecting_ = reject; }
   // Delays each further answer, without occupying the service.
   void SetExtraLatency(Micros latency) { settings_.extra_latency = latency; }
   // Resets the watches; calls are held until their timeout or the end of the outage.
   void BeginOutage();
+  // Handles calls again, those that are still queued first.
   void EndOutage();
 
   // The number of relays with an answered watch.
   std::size_t WatchingRelays() const;
   // When something was last written to the relay's watch.
   Micros LastWrittenTo(std::size_t relay) const { return last_written_[relay]; }
+  // The number of calls so far.
   std::size_t Calls() const { return calls_; }
+  // The number of calls that were answered 503.
   std::size_t RejectedCalls() const { return rejected_calls_; }
   // The longest time between a call and its answer.
   Micros LongestAnswer() const { return longest_answer_; }
@@ -98,7 +102,7 @@
   std::list<WatchPtr> watches_;  // All connections, until they are closed.
   std::deque<WatchPtr> queue_;
   std::vector<Micros> last_written_;  // By relay.
-  bool serving_ = false, original_frozen_ = false, refusing_ = false, down_ = false;
+  bool serving_ = false, original_frozen_ = false, rejecting_ = false, down_ = false;
   std::size_t calls_ = 0, rejected_calls_ = 0;
   Micros longest_answer_{0};
 };
--- a/fault_injection/main.cpp
+++ b/fault_injection/main.cpp
@@ -1,6 +1,7 @@
 // `stoatrun_fault_injection run [FILE]` runs a schedule with real processes and checks the resulting history;
-// `stoatrun_fault_injection check FILE` checks a recorded history. Exit status: 0 if all bounds hold, 2 for
-// an error, 3 if a bound was violated or a process crashed.
+// `stoatrun_fault_injection check FILE` checks a recorded history; `stoatrun_fault_injection late-notice
+// FAULT` measures how long relays go on to use an endpoint after its drain counts as known. Exit status: 0 if
+// all bounds hold, 2 for an error, 3 if a bound was violated or a process crashed.
 #include <fmt/format.h>
 
 #include <CLI/CLI.hpp>
@@ -160,6 +161,28 @@
   return 0;
 }
 
+CLI::App* AddNoticeCommand(CLI::App& app, NoticeOptions& options) {
+  NoticeTrial& trial = options.trial;
+  CLI::App* notice = app.add_subcommand(
+      "late-notice", "measures how long relays go on to use an endpoint after its drain counts as known");
+  std::vector<std::string> fault_names;
+  for (const auto& named : stoatrun::fault_injection::kNoticeFaults) fault_names.emplace_back(named.name);
+  notice->add_option("fault", options.fault, "how the relays learn of the drain")
+      ->required()
+      ->check(CLI::IsMember(fault_names));
+  notice->add_flag("--pushed", trial.pushed, "lists are pushed by an agent of each relay");
+  notice->add_option("--relays", trial.relays, "relay processes")->check(CLI::Range(1, 250));
+  notice->add_option("--fleet", trial.fleet_size, "the relays' setting `balancers`");
+  notice->add_option("--endpoints", trial.endpoints, "entries of the endpoint list");
+  notice->add_option("--reload-spread-ms", trial.reload_spread, "from the first reload to the last");
+  notice->add_option("--fleet-work-ms", trial.fleet_work, "time of the service for one call of each relay");
+  notice->add_option("--seed", trial.seed, "seed of the relays and of the trial");
+  notice->add_option("--program", trial.program, "path of the relay program")->required();
+  notice->add_option("--folder", trial.folder,
+                     "folder for files and logs (default: a temporary one, deleted if the bound holds)");
+  return notice;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Runs stoatrun processes under injected faults and checks their histories.");
   app.require_subcommand(1);
@@ -179,24 +202,7 @@
   run->add_option("--connections", options.setup.connections_per_s,
                   "new connections per second at each relay");
   NoticeOptions notice_options;
-  NoticeTrial& trial = notice_options.trial;
-  CLI::App* notice = app.add_subcommand(
-      "late-notice", "measures how long relays go on to use an endpoint after its drain counts as known");
-  std::vector<std::string> fault_names;
-  for (const auto& named : stoatrun::fault_injection::kNoticeFaults) fault_names.emplace_back(named.name);
-  notice->add_option("fault", notice_options.fault, "how the relays learn of the drain")
-      ->required()
-      ->check(CLI::IsMember(fault_names));
-  notice->add_flag("--pushed", trial.pushed, "lists are pushed by an agent of each relay");
-  notice->add_option("--relays", trial.relays, "relay processes")->check(CLI::Range(1, 250));
-  notice->add_option("--fleet", trial.fleet_size, "the relays' setting `balancers`");
-  notice->add_option("--endpoints", trial.endpoints, "entries of the endpoint list");
-  notice->add_option("--reload-spread-ms", trial.reload_spread, "from the first reload to the last");
-  notice->add_option("--fleet-work-ms", trial.fleet_work, "time of the service for one call of each relay");
-  notice->add_option("--seed", trial.seed, "seed of the relays and of the trial");
-  notice->add_option("--program", trial.program, "path of the relay program")->required();
-  notice->add_option("--folder", trial.folder,
-                     "folder for files and logs (default: a temporary one, deleted if the bound holds)");
+  const CLI::App* notice = AddNoticeCommand(app, notice_options);
   CLI::App* check = app.add_subcommand("check", "checks a recorded history");
   check->add_option("file", options.file, "history file")->required();
   CLI11_PARSE(app, argc, argv);
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -16,8 +16,8 @@
 //   s-1 ...               the steps above, for the first attempt at endpoint s-1 (s-1#2: the second)
 //   s-1 legs N            exactly N attempts have been made at s-1
 //   s-1 break | idle-end                resets, or closes, the connections without a request
-//   turns N | turn        runs N turns of the event loop after each following step (default 3; discovery's: 5,
-//                         or none if N is 0); runs one turn
+//   turns N | turn        runs N turns of the event loop after each following step (default 3), or 5 after a
+//                         step of discovery, if N is not 0; runs one turn
 //   s-1 down | full | load X            refuses connections; leaves them unanswered; sets its reported load
 //   discovery send JSON | close         sends a line of the watch; ends the watch
 //   discovery refuse | serve            answers 503; serves again
