A reload to an address that refuses connections rejects no requests

A call that cannot connect now postpones the reload's deadline: nothing can be known of an address that does not exist.

--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -155,7 +155,11 @@
     LogLine(Level::kInfo, "old watch ended").Reason(LogName(failure));
     return;
   }
-  if (!was_watch) deadline_.OnCallFailed(call.StartedAt());
+  if (!call.HasConnected()) {
+    deadline_.OnUnreachable(call.StartedAt());
+  } else if (!was_watch) {
+    deadline_.OnCallFailed(call.StartedAt());
+  }
   ScheduleRetry(call, failure);
 }
 
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -31,6 +31,11 @@
   }
   // A call has failed that was made at `called_at`: the service could not be used then.
   void OnCallFailed(Micros called_at) { unavailable_at_ = std::max(unavailable_at_, called_at); }
+  // The same, as no connection could be made: nothing can be known of an address that does not exist.
+  void OnUnreachable(Micros called_at) {
+    OnCallFailed(called_at);
+    if (reload_deadline_) reload_deadline_ = std::max(*reload_deadline_, called_at + kKnownAfterReload);
+  }
   // A call has not been answered in time.
   void OnCallUnanswered(Micros now) { unanswered_at_ = now; }
 
--- a/src/endpoint/watch_call.cpp
+++ b/src/endpoint/watch_call.cpp
@@ -47,9 +47,9 @@
   revision_ = revision;
   started_at_ = loop_.Now();
   LogLine(Level::kInfo, "watch call").Field("discovery", host_).Field("revision", revision_);
-  not_connected_ = !connection_.Connect(address);
+  connect_failed_ = !connection_.Connect(address);
   // A connection that fails immediately is also reported by a later callback, like any other failure.
-  timeout_.Set(loop_.Now() + (not_connected_ ? Micros(1) : kAnswerTimeout));
+  timeout_.Set(loop_.Now() + (connect_failed_ ? Micros(1) : kAnswerTimeout));
 }
 
 void WatchCall::Close() {
@@ -64,7 +64,7 @@
 }
 
 void WatchCall::OnTimeout() {
-  if (not_connected_) return Fail(WatchFailure::kReset);
+  if (connect_failed_) return Fail(WatchFailure::kReset);
   // After a pause of the process, the timeout may run before what arrived meanwhile has been read.
   connection_.ReadNow();
   if (timeout_.IsSet() || phase_ == Phase::kClosed) return;
@@ -75,6 +75,7 @@
 }
 
 void WatchCall::OnConnected(SlotId /*id*/) {
+  connected_ = true;
   connection_.Write({"GET /v1/endpoints?watch=1&after=", std::to_string(revision_),
                      " HTTP/1.1\r\nHost: ", host_, "\r\nAccept: application/json\r\n\r\n"});
 }
--- a/src/endpoint/watch_call.h
+++ b/src/endpoint/watch_call.h
@@ -57,6 +57,8 @@
   SlotId Id() const { return id_; }
   // The value of the Host header, which identifies the address.
   const std::string& Host() const { return host_; }
+  // Whether a connection to the service was made.
+  bool HasConnected() const { return connected_; }
   // The time of Start.
   Micros StartedAt() const { return started_at_; }
 
@@ -87,10 +89,11 @@
   Micros started_at_{0};
   std::uint64_t revision_ = 0;  // Requested.
   Phase phase_ = Phase::kWaiting;
-  bool rejected_ = false;   // The status is not 200.
-  bool ended_ = false;      // The response is complete.
-  bool malformed_ = false;  // The body can't be split into valid objects.
-  bool not_connected_ = false;
+  bool rejected_ = false;        // The status is not 200.
+  bool ended_ = false;           // The response is complete.
+  bool malformed_ = false;       // The body can't be split into valid objects.
+  bool connect_failed_ = false;  // At once, in Start.
+  bool connected_ = false;
   JsonObjectFramer framer_;
   http_parser parser_{};
   http_parser_settings parser_settings_{};
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -215,12 +215,12 @@
   fixture.Play("c send OPEN 3 k c=watch,d=2000\ns-1#2 expect OPEN 3*");
 }
 
-// Guards against rejections during an outage, in which nothing can be known.
+// Guards against rejections in an outage, or after a reload with a wrong address: nothing can be known then.
 TEST_CASE("while calls to discovery fail the list stays in effect, and is not overdue") {
   LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
   TimeToCall(fixture, "discovery", 0, 6000);
   fixture.Play(R"(discovery send {"revision":1,"members":[]})");
-  fixture.Play("discovery refuse\ndiscovery close");
+  fixture.Play(GENERATE("discovery refuse\ndiscovery close", "discovery2 down\nreload discovery2"));
   for (int k = 1; k <= 10; ++k) {
     const std::string number = std::to_string(k);
     fixture.Play("wait 1000\nc" + number + " send OPEN " + number + " k c=watch,d=2000\ns-1#" + number +
--- a/tests/proxy/loopback_commands.cpp
+++ b/tests/proxy/loopback_commands.cpp
@@ -132,12 +132,12 @@
 
 const std::map<std::string_view, LoopbackFixture::ServerHandler>& LoopbackFixture::DiscoveryCommands() {
   static const std::map<std::string_view, ServerHandler> kCommands{
-      {"refuse", &LoopbackFixture::SetDiscoveryMode}, {"serve", &LoopbackFixture::SetDiscoveryMode},
-      {"mute", &LoopbackFixture::SetDiscoveryMode},   {"send", &LoopbackFixture::SendChunk},
-      {"raw", &LoopbackFixture::SendChunk},           {"plain", &LoopbackFixture::SendPlain},
-      {"plain-first", &LoopbackFixture::SendPlain},   {"watches", &LoopbackFixture::AwaitWatches},
-      {"asked", &LoopbackFixture::CheckWatchRequest}, {"expect-end", &LoopbackFixture::AwaitWatchEnd},
-      {"close", &LoopbackFixture::CloseWatch},
+      {"refuse", &LoopbackFixture::SetDiscoveryMode},  {"down", &LoopbackFixture::TakeDown},
+      {"serve", &LoopbackFixture::SetDiscoveryMode},   {"mute", &LoopbackFixture::SetDiscoveryMode},
+      {"send", &LoopbackFixture::SendChunk},           {"raw", &LoopbackFixture::SendChunk},
+      {"plain", &LoopbackFixture::SendPlain},          {"plain-first", &LoopbackFixture::SendPlain},
+      {"watches", &LoopbackFixture::AwaitWatches},     {"asked", &LoopbackFixture::CheckWatchRequest},
+      {"expect-end", &LoopbackFixture::AwaitWatchEnd}, {"close", &LoopbackFixture::CloseWatch},
   };
   return kCommands;
 }
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -20,7 +20,7 @@
 //                         step of discovery, if N is not 0; runs one turn
 //   s-1 down | full | load X            refuses connections; leaves them unanswered; sets its reported load
 //   discovery send JSON | close         sends a line of the watch; ends the watch
-//   discovery refuse | serve            answers 503; serves again
+//   discovery refuse | serve | down     answers 503; serves again; refuses connections
 //   discovery raw TEXT    sends a part of a line; \n stands for a line end
 //   discovery mute | plain TEXT         accepts calls without an answer; sends TEXT with \r and \n replaced
 //   discovery plain-first TEXT          the same, to the first call
