--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -222,9 +222,12 @@
   fixture.Play(R"(discovery send {"revision":1,"members":[]})");
   fixture.Play(GENERATE("discovery refuse\ndiscovery close", "discovery2 down\nreload discovery2"));
   for (int k = 1; k <= 10; ++k) {
-    const std::string number = std::to_string(k);
-    fixture.Play("wait 1000\nc" + number + " send OPEN " + number + " k c=watch,d=2000\ns-1#" + number +
-                 " expect OPEN " + number + "*\ns-1#" + number + " send UP r\nc" + number + " expect UP r");
+    std::string script =
+        "wait 1000\ncK send OPEN K k c=watch,d=2000\ns-1#K expect OPEN K*\ns-1#K send UP r\ncK expect UP r";
+    for (std::size_t at = 0; (at = script.find('K')) != std::string::npos;) {
+      script.replace(at, 1, std::to_string(k));
+    }
+    fixture.Play(script);
   }
 }
 
