End the rejections of an overdue list after three seconds, until the next event

Callers would have been answered BUSY for about half of the time for as long as discovery accepted calls and never answered. Cause: each unanswered call moved the time from which the list counts as overdue, and with it the limit of three seconds. Now the limit counts from the first time that the list is found overdue to the next event.

--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -23,6 +23,7 @@
   void OnEvent(Micros now) {
     list_current_at_ = now;
     reload_deadline_.reset();
+    overdue_since_.reset();
   }
   // The client has been told to use another address of the service. Further reloads before the next event
   // don't extend the deadline.
@@ -39,13 +40,16 @@
   // A call has not been answered in time.
   void OnCallUnanswered(Micros now) { unanswered_at_ = now; }
 
-  // Whether changes may count as known that have not been received. This ends after kMaxOverdue: from then on
-  // the service is assumed to be out of order, and the current list is the best that there is.
-  bool IsOverdue(Micros now) const {
+  // Whether changes may count as known that have not been received. After kMaxOverdue without an event this
+  // ends until the next event, whatever happens in between: the service is assumed to be out of order, and
+  // the current list is the best that there is.
+  bool IsOverdue(Micros now) {
     Micros deadline = std::max({list_current_at_ + kKnownAfterChange, unavailable_at_ + kKnownAfterChange,
                                 unanswered_at_ + kKnownAfterUnansweredCall});
     if (reload_deadline_) deadline = std::min(deadline, *reload_deadline_);
-    return now >= deadline && now < deadline + kMaxOverdue;
+    if (now < deadline) return false;
+    if (!overdue_since_) overdue_since_ = deadline;
+    return now < *overdue_since_ + kMaxOverdue;
   }
 
   // The time by which the next call must begin, so that it can be answered before the deadline. If that is no
@@ -73,6 +77,7 @@
   Micros unanswered_at_{0};
   Micros unavailable_at_{0};
   std::optional<Micros> reload_deadline_;  // Set from a reload to the next event.
+  std::optional<Micros> overdue_since_;    // Set when the list is found to be overdue, to the next event.
 };
 
 }  // namespace stoatrun
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -150,6 +150,14 @@
 // proxy knows them: 4 s after a reload, 6 s after a start or after a failure.
 constexpr int kSlowestAnswerMs = 2500;
 
+// Replaces each K in a script by `number`.
+std::string Numbered(std::string script, int number) {
+  for (std::size_t at = 0; (at = script.find('K')) != std::string::npos;) {
+    script.replace(at, 1, std::to_string(number));
+  }
+  return script;
+}
+
 // Waits until the service has been called more than `calls` times. Returns the time until then, in steps of
 // 10 ms; `limit` if that does not happen.
 int TimeToCall(LoopbackFixture& fixture, const std::string& service, std::size_t calls, int limit) {
@@ -215,6 +223,22 @@
   fixture.Play("c send OPEN 3 k c=watch,d=2000\ns-1#2 expect OPEN 3*");
 }
 
+// Guards against a relay that rejects requests again and again while discovery accepts calls and never
+// answers.
+TEST_CASE("while discovery hangs requests are rejected for three seconds in all") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery mute");
+  constexpr int kIntervalMs = 250;
+  for (int ms = 0; ms < 40'000; ms += kIntervalMs) {
+    const std::string script = "cK send OPEN K k c=watch,d=200\nwait 250\ncK close";
+    fixture.Play(Numbered(script, ms));
+  }
+  CHECK(fixture.Counts().attempts_denied_by_overdue_list > 0);
+  CHECK(fixture.Counts().attempts_denied_by_overdue_list <= 3000 / kIntervalMs + 1);
+}
+
 // Guards against rejections in an outage, or after a reload with a wrong address: nothing can be known then.
 TEST_CASE("while calls to discovery fail the list stays in effect, and is not overdue") {
   LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
@@ -222,12 +246,9 @@
   fixture.Play(R"(discovery send {"revision":1,"members":[]})");
   fixture.Play(GENERATE("discovery refuse\ndiscovery close", "discovery2 down\nreload discovery2"));
   for (int k = 1; k <= 10; ++k) {
-    std::string script =
+    const std::string script =
         "wait 1000\ncK send OPEN K k c=watch,d=2000\ns-1#K expect OPEN K*\ns-1#K send UP r\ncK expect UP r";
-    for (std::size_t at = 0; (at = script.find('K')) != std::string::npos;) {
-      script.replace(at, 1, std::to_string(k));
-    }
-    fixture.Play(script);
+    fixture.Play(Numbered(script, k));
   }
 }
 
