--- a/fault_injection/late_notice/late_notice.cpp
+++ b/fault_injection/late_notice/late_notice.cpp
@@ -107,7 +107,9 @@
   std::string ListText(bool drained) const {
     std::string members;
     for (std::size_t index = 0; index < std::max(trial_.endpoints, kServingEndpoints); ++index) {
-      const bool ready = index < kServingEndpoints && !(drained && index == kDrainedEndpoint);
+      const bool changed = drained && index == kDrainedEndpoint;
+      if (changed && trial_.removed) continue;
+      const bool ready = index < kServingEndpoints && !changed;
       members +=
           fmt::format(R"({}{{"id":"s-{:08x}","host_port":"{}:{}","locality":"here","flavor":"x","cell":{},)"
                       R"("phase":"{}","size":1.0,"up_since_ms":0}})",
--- a/fault_injection/late_notice/late_notice.h
+++ b/fault_injection/late_notice/late_notice.h
@@ -59,6 +59,7 @@
 struct NoticeTrial {
   NoticeFault fault = NoticeFault::kReload;
   bool pushed = false;         // Lists are pushed by an agent of each relay.
+  bool removed = false;        // The endpoint leaves the list instead of draining.
   std::size_t relays = 3;      // Processes.
   std::size_t fleet_size = 3;  // The setting `balancers`; the service has that many callers' load.
   std::size_t endpoints = 2;   // Entries of the list. Two of them accept requests.
--- a/fault_injection/main.cpp
+++ b/fault_injection/main.cpp
@@ -171,6 +171,7 @@
       ->required()
       ->check(CLI::IsMember(fault_names));
   notice->add_flag("--pushed", trial.pushed, "lists are pushed by an agent of each relay");
+  notice->add_flag("--removed", trial.removed, "the endpoint leaves the list instead of draining");
   notice->add_option("--relays", trial.relays, "relay processes")->check(CLI::Range(1, 250));
   notice->add_option("--fleet", trial.fleet_size, "the relays' setting `balancers`");
   notice->add_option("--endpoints", trial.endpoints, "entries of the endpoint list");
