--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""All watches fall silent while discovery is crowded; the relay goes on sending to a server that drains."""
+"""All watches fall silent, the first new call fails and the next is answered slowly: requests to a draining server."""
 
 import asyncio
 import pathlib
@@ -12,12 +12,14 @@
 GRACE_S = 0.25           # invariants.stopSendingWithin.
 SLACK_S = 0.05           # "every time limit is longer by 50 ms".
 PATIENCE_S = 3.0         # The site's discovery timeout_ms: a call that waits longer ends with 503.
-CROWDED_S = 8.0          # From the silence on: as long as the page's outage of discovery.
-REQUESTS_PER_S = 10
+CROWDED_S = 5.0          # From the silence on: calls that are made meanwhile wait too long and fail.
+SLOW_S = 2.9             # Later calls wait this long and are answered.
+PLAYED_S = 12.0          # From the silence on.
+REQUESTS_PER_S = 15
 
 
 async def play(case):
-    servers = [standins.SyncServer(case, name) for name in ("s-a", "s-b", "s-c")]
+    servers = [standins.SyncServer(case, name) for name in ("s-a", "s-b", "s-c", "s-d")]
     for server in servers:
         await server.start()
     members = [server.member() for server in servers]
@@ -49,18 +51,19 @@
     await before
     silent_at = case.now()
     if case.trouble:
-        discovery.silent = discovery.crowded = True
+        discovery.silence()
+        discovery.crowded, discovery.wait = True, SLOW_S
         case.record("all open watches fall silent; discovery is crowded: a new call waits 3 s and ends with 503")
 
     async def drain():
         await asyncio.sleep(0.5)
         discovery.change(servers[0].member(phase="draining"))
         await asyncio.sleep(CROWDED_S - 0.5)
-        discovery.silent = discovery.crowded = False
-        case.record("discovery is no longer crowded")
+        discovery.crowded = False
+        case.record(f"discovery answers each call that is made from now on, after {discovery.wait} s")
 
     drained = asyncio.create_task(drain())
-    await traffic(silent_at + CROWDED_S + 5.0)
+    await traffic(silent_at + PLAYED_S)
     await drained
 
     if case.trouble:
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -235,7 +235,8 @@
 class Discovery:
     """Discovery as the protocol page tells: a list, watches with an empty line every 2 s, one queue of calls.
 
-    `silent`: watches stay open and say nothing. `crowded`: a new call waits `patience` seconds and ends with 503.
+    `silence()`: the watches that are open now stay so and say nothing more. `crowded`: a new call waits `patience` seconds
+    and ends with 503. `wait`: how long any other call waits for its answer.
     """
 
     def __init__(self, case, members, patience=3.0):
@@ -244,9 +245,11 @@
         self.revision = 1
         self.changes = []  # (revision, member)
         self.watches = set()
-        self.silent = self.crowded = False
+        self.crowded = False
+        self.wait = 0.0
         self.address = None
         self.server = None
+        self.silenced = set()
         self.told = []  # (time, revision): written to a relay.
 
     async def start(self):
@@ -261,6 +264,10 @@
         for watch in self.watches:
             watch.set()
 
+    def silence(self):
+        """All open watches fall silent; those opened later are sound."""
+        self.silenced.update(self.watches)
+
     def news(self, after):
         if 0 < after <= self.revision:
             entries = [member for revision, member in self.changes if revision > after]
@@ -279,6 +286,7 @@
                 writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
                 await writer.drain()
                 return
+            await asyncio.sleep(self.wait)
             if "watch=1" not in target:
                 text = json.dumps(self.news(0)).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
@@ -289,11 +297,9 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.watches.add(wake)
             first = True
-            broken = False  # A watch that has fallen silent stays so.
             while True:
                 wake.clear()
-                broken = broken or self.silent
-                if not broken:
+                if wake not in self.silenced:
                     text = b"\n"
                     if first or after < self.revision:
                         text = json.dumps(self.news(after)).encode() + b"\n"
@@ -312,6 +318,7 @@
             pass
         finally:
             self.watches.discard(wake)
+            self.silenced.discard(wake)
             writer.close()
 
 
