A deduplicated request is not written after its window, however late the write comes

Cause: the window was compared with the time once, at the decision, by the clock as of the start of the turn (Request::IsSafeToRepeat). SendAttempt did not carry the window's end, so Upstream wrote the line whenever the connection came up or the socket took the rest of it.

Fix: SendAttempt::send_before carries the window's end. Upstream::MayWriteRequest runs immediately before each write of a request, whole or in part: it reads the client's end, then the clock, and ends the attempt as kTooLate (counter attempts_too_late) or as not connected if its time is over. The attempt's timer ends it at that time too, so that the final answer is not delayed. TcpConnection::OnBeforeFlush covers the rest of a partial write.

--- a/include/balancer/balancer.h
+++ b/include/balancer/balancer.h
@@ -194,6 +194,9 @@
   RequestId id{};
   EndpointId endpoint{};
   Micros timeout{0};  // The attempt ends with kTimedOut if not established by then.
+  // Set for a repeat that is safe only within a deduplication window: at this time or later the caller must
+  // not write the request, and ends the attempt with kNotSent.
+  std::optional<Micros> send_before;
 };
 // Cancel the attempt in flight; its AttemptEnded still comes.
 struct CancelAttempt {
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -263,7 +263,7 @@
     endpoints_.GetSlowStartPolicy().ConsumeTokens(endpoint.slow_start, request);
     endpoints_.RecordPlacement(endpoint, request.info.id);
     admission_.RecordAttempt();
-    Emit(SendAttempt{request.info.id, endpoint.info.id, timeout});
+    Emit(SendAttempt{request.info.id, endpoint.info.id, timeout, request.RepeatDeadline()});
     if (++endpoint.attempts_since_probe >= kAttemptsPerProbe && CanProbe()) Probe(endpoint);
     return true;
   }
--- a/src/balancer/retry_policy.h
+++ b/src/balancer/retry_policy.h
@@ -56,10 +56,15 @@
     return !finished && !attempt_in_flight && within_limits;
   }
   bool HasIdempotencyKey() const { return class_settings.idempotency == Idempotency::kIdempotencyKey; }
+  // The end of the deduplication window, before which the request may be repeated; nullopt if none applies.
+  std::optional<Micros> RepeatDeadline() const {
+    if (!may_have_run || !HasIdempotencyKey()) return std::nullopt;
+    return first_run_sent_at + class_settings.deduplication_window;
+  }
   // Whether the request may be sent again although an earlier attempt may have run.
   bool IsSafeToRepeat(Micros now) const {
     if (!may_have_run || class_settings.idempotency == Idempotency::kIdempotent) return true;
-    return HasIdempotencyKey() && now < first_run_sent_at + class_settings.deduplication_window;
+    return HasIdempotencyKey() && now < RepeatDeadline();
   }
   // Whether `target` deduplicates a repeat of the attempt that may have run at `first_run`.
   bool IsDeduplicatedAt(const Endpoint& target, const Endpoint& first_run) const {
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -32,6 +32,9 @@
   void Advance(Micros duration) { now_ += duration; }
   // The time as of the last Read or Advance.
   Micros Now() const { return now_; }
+  // The present time, without an effect on Now. Later than Now by the time that the current iteration has
+  // taken, including any time for which the process did not run.
+  Micros Current() const { return mode_ == Mode::kMonotonic ? std::max(now_, ReadMonotonic()) : now_; }
 
   // Converts Unix time in milliseconds to this clock's time; 0 or less ("long ago") yields 0. The offset
   // between the clocks is determined once, so a given Unix time always yields the same result. A time before
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -24,6 +24,7 @@
       .Field("attempts_rejected", counters.attempts_rejected)
       .Field("attempts_failed", counters.attempts_failed)
       .Field("attempts_denied_by_overdue_list", counters.attempts_denied_by_overdue_list)
+      .Field("attempts_too_late", counters.attempts_too_late)
       .Field("served", counters.served)
       .Field("endpoint_migrated", counters.migrated_by_endpoint)
       .Field("silent_endpoints", counters.silent_endpoints)
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -49,6 +49,8 @@
   std::uint64_t attempts_denied_by_quota = 0;  // Not sent: a fleet-wide rate quota was exhausted.
   // Not sent: the endpoint list may lack changes that the platform assumes the proxy to know.
   std::uint64_t attempts_denied_by_overdue_list = 0;
+  // Not sent, or not completely: the time in which the request may be written was over.
+  std::uint64_t attempts_too_late = 0;
 
   // Ends of established connections.
   std::uint64_t served = 0;
--- a/src/base/tcp_connection.cpp
+++ b/src/base/tcp_connection.cpp
@@ -217,7 +217,7 @@
   }
   if (connecting_) return FinishConnect();
   if ((events & EV_WRITE) != 0) {
-    Flush();
+    FlushQueued();
     if (IsOpen() && !broken_ && QueuedBytes() == 0) handler_.OnWritable(id_);
   }
   if ((events & EV_READ) != 0 && IsOpen() && !broken_ && reading_ && !peer_finished_) ReadSome();
@@ -234,7 +234,7 @@
   connecting_ = false;
   UpdateWatcher();
   handler_.OnConnected(id_);
-  if (IsOpen() && QueuedBytes() > 0) Flush();
+  if (IsOpen() && QueuedBytes() > 0) FlushQueued();
 }
 
 void TcpConnection::ReadSome() {
@@ -257,6 +257,11 @@
   }
 }
 
+void TcpConnection::FlushQueued() {
+  handler_.OnBeforeFlush(id_);
+  if (IsOpen() && !broken_) Flush();
+}
+
 void TcpConnection::Flush() {
   while (QueuedBytes() > 0) {
     const ssize_t written = write(fd_, output_.data() + output_begin_, QueuedBytes());
--- a/src/base/tcp_connection.h
+++ b/src/base/tcp_connection.h
@@ -55,6 +55,8 @@
   // The peer has finished sending or closed, but some of its data has not been read yet; OnEnd follows once
   // it has been read.
   virtual void OnPeerClosing(SlotId /*id*/) {}
+  // Queued output is about to be written. The handler may close the connection to prevent that.
+  virtual void OnBeforeFlush(SlotId /*id*/) {}
   // All queued output has been written.
   virtual void OnWritable(SlotId /*id*/) {}
 };
@@ -126,6 +128,7 @@
   void HandleIo(int events);
   void FinishConnect();
   void ReadSome();
+  void FlushQueued();
   void Flush();
   void ReportReset();
   void ReportResetLater();
--- a/src/proxy/balancer_driver.cpp
+++ b/src/proxy/balancer_driver.cpp
@@ -11,7 +11,8 @@
   BalancerDriver& driver;
 
   void operator()(const balancer::SendAttempt& action) const {
-    driver.handler_.OpenAttempt(ToSessionId(action.id), ToEndpointIndex(action.endpoint), action.timeout);
+    driver.handler_.OpenAttempt(ToSessionId(action.id), ToEndpointIndex(action.endpoint),
+                                {action.timeout, action.send_before});
   }
   void operator()(const balancer::CancelAttempt& action) const {
     driver.handler_.CancelAttempt(ToSessionId(action.id), action.attempt);
--- a/src/proxy/balancer_driver.h
+++ b/src/proxy/balancer_driver.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "balancer/balancer.h"
@@ -14,13 +15,19 @@
 
 namespace stoatrun {
 
+// The limits of an attempt.
+struct AttemptLimits {
+  Micros timeout{0};                  // Within which the endpoint must accept the request.
+  std::optional<Micros> send_before;  // At this time or later the request must not be written.
+};
+
 // Executes the balancer's actions. Each method may call BalancerDriver::HandleEvent. An action has no effect
 // on a session that has ended or that is no longer in the state to which the action applies.
 class ActionHandler {
  public:
   virtual ~ActionHandler() = default;
-  // Sends the session's request to `endpoint`, which must accept it within `timeout`.
-  virtual void OpenAttempt(SlotId session, EndpointIndex endpoint, Micros timeout) = 0;
+  // Sends the session's request to `endpoint`.
+  virtual void OpenAttempt(SlotId session, EndpointIndex endpoint, const AttemptLimits& limits) = 0;
   // Cancels the session's current attempt if its number, counted from 0, is `attempt_number`.
   virtual void CancelAttempt(SlotId session, std::uint32_t attempt_number) = 0;
   // Rejects the request. A positive `retry_after` tells the client when to retry.
--- a/src/proxy/balancer_mapping.cpp
+++ b/src/proxy/balancer_mapping.cpp
@@ -30,6 +30,7 @@
       return balancer::Outcome::kCancelled;
     case AttemptEnd::kQuotaExhausted:
     case AttemptEnd::kListOverdue:
+    case AttemptEnd::kTooLate:
       return balancer::Outcome::kNotSent;
   }
   return balancer::Outcome::kUnknown;
--- a/src/proxy/fleet_quota_guard.cpp
+++ b/src/proxy/fleet_quota_guard.cpp
@@ -26,6 +26,7 @@
     case AttemptEnd::kAbandoned:
     case AttemptEnd::kQuotaExhausted:
     case AttemptEnd::kListOverdue:
+    case AttemptEnd::kTooLate:
       break;
   }
   return std::nullopt;
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -157,7 +157,7 @@
 
 // ---- the balancer's actions ----
 
-void SessionController::OpenAttempt(SlotId session_id, EndpointIndex endpoint, Micros timeout) {
+void SessionController::OpenAttempt(SlotId session_id, EndpointIndex endpoint, const AttemptLimits& limits) {
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr || !session->IsPending() || session->attempt) {
     deps_.balancer.HandleEvent(
@@ -175,10 +175,17 @@
     deps_.balancer.HandleEvent(ToAttemptEnded(session_id, endpoint, *refusal, RequestState::kOpen, {}));
     return;
   }
+  const Micros send_before = limits.send_before.value_or(Micros::max());
+  if (deps_.loop.clock.Current() >= send_before) {
+    ++deps_.counters.attempts_too_late;
+    deps_.balancer.HandleEvent(
+        ToAttemptEnded(session_id, endpoint, AttemptEnd::kTooLate, RequestState::kOpen, {}));
+    return;
+  }
   session->endpoint = endpoint;
   ++session->attempt_count;
   const AttemptRequest request{session->before_timeout, session->after_timeout, true,
-                               std::min(timeout, session->request.deadline - Now())};
+                               std::min(limits.timeout, session->request.deadline - Now()), send_before};
   session->attempt = deps_.upstream.Open(session_id, endpoint, request);
   LogLine(Level::kDebug, "attempt")
       .Field("number", session->attempt_count)
@@ -264,9 +271,9 @@
 
 // ---- attempts and probes ----
 
-// If the attempt connects in the same turn of the event loop, the client's FIN or reset may still be unread.
-// Reading it now ends the attempt before anything is sent.
-void SessionController::OnAttemptConnected(SlotId session_id) {
+// The client's FIN or reset may still be unread if it arrived in the same turn of the event loop. Reading it
+// now ends the attempt before anything more is written.
+void SessionController::OnBeforeRequestWrite(SlotId session_id) {
   const Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
   if (TcpConnection* client = deps_.downstream.Find(session->client)) client->ReadNow();
--- a/src/proxy/session_controller.h
+++ b/src/proxy/session_controller.h
@@ -55,7 +55,7 @@
   void MigrateIdle(std::size_t count);
 
   // ActionHandler
-  void OpenAttempt(SlotId session_id, EndpointIndex endpoint, Micros timeout) override;
+  void OpenAttempt(SlotId session_id, EndpointIndex endpoint, const AttemptLimits& limits) override;
   void CancelAttempt(SlotId session_id, std::uint32_t attempt_number) override;
   void Reject(SlotId session_id, Micros retry_after) override;
   void Fail(SlotId session_id) override;
@@ -75,7 +75,7 @@
   void OnClientWritable(SlotId session_id) override;
   void OnRejectedForCapacity(const OpenRequest& request) override;
   // UpstreamEvents
-  void OnAttemptConnected(SlotId session_id) override;
+  void OnBeforeRequestWrite(SlotId session_id) override;
   void OnAttemptSent(SlotId session_id) override;
   void OnAttemptEstablished(SlotId session_id, std::string_view line) override;
   void OnAttemptEnded(SlotId session_id, AttemptEnd end, std::string_view line) override;
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -99,7 +99,8 @@
 void Upstream::Connect(Connection& connection) {
   const auto& address = endpoints_.Get(connection.endpoint).address;
   const bool connecting = address && connection.tcp.Connect(*address);
-  connection.timer.Set(connecting ? std::min(connection.deadline, loop_.Now() + timeouts_.connect)
+  const Micros limit = std::min(connection.deadline, connection.request.send_before);
+  connection.timer.Set(connecting ? std::min(limit, loop_.Now() + timeouts_.connect)
                                   : loop_.Now() + kNextTurnDelay);
 }
 
@@ -123,21 +124,41 @@
   return connection == nullptr ? nullptr : &connection->tcp;
 }
 
-void Upstream::SendRequest(Connection& attempt) {
-  const AttemptRequest& request = attempt.request;
-  if (!request.sends_timeout) {
-    attempt.tcp.Write({request.before_timeout, "\r\n"});
-    return;
-  }
+std::optional<AttemptEnd> Upstream::WriteObstacle(const Connection& attempt, Micros now) const {
+  if (now >= attempt.request.send_before) return AttemptEnd::kTooLate;
+  if (now >= attempt.deadline) return AttemptEnd::kNotConnected;
+  return std::nullopt;
+}
+
+bool Upstream::MayWriteRequest(SlotId id) {
+  const Connection* attempt = connections_.Find(id);
+  if (attempt == nullptr) return false;
+  events_.OnBeforeRequestWrite(attempt->owner);  // May close it.
+  Connection* remaining = connections_.Find(id);
+  if (remaining == nullptr) return false;
+  // Last, so that as little time as possible passes between this look at the clock and the write.
+  const auto obstacle = WriteObstacle(*remaining, loop_.clock.Current());
+  if (obstacle) EndAttempt(*remaining, *obstacle, {});
+  return !obstacle;
+}
+
+void Upstream::SendRequest(SlotId id) {
+  const Connection* attempt = connections_.Find(id);
+  if (attempt == nullptr) return;
+  const AttemptRequest request = attempt->request;
   std::array<char, 24> text{};  // Large enough for any 64-bit number.
-  const auto timeout_ms = std::max<Micros::rep>(1, (attempt.deadline - loop_.Now()).count() / 1000);
+  const Micros timeout = attempt->deadline - loop_.clock.Current();
+  const auto timeout_ms = std::max<Micros::rep>(1, timeout.count() / 1000);
   const char* end = std::to_chars(text.data(), text.data() + text.size(), timeout_ms).ptr;
-  const std::string_view timeout(text.data(), static_cast<std::size_t>(end - text.data()));
-  attempt.tcp.Write({request.before_timeout, timeout, request.after_timeout, "\r\n"});
+  std::string_view timeout_text(text.data(), static_cast<std::size_t>(end - text.data()));
+  if (!request.sends_timeout) timeout_text = {};
+  if (!MayWriteRequest(id)) return;
+  connections_.Find(id)->tcp.Write({request.before_timeout, timeout_text, request.after_timeout, "\r\n"});
 }
 
 void Upstream::OnSent(Connection& connection) {
   if (std::exchange(connection.sent, true) || connection.IsProbe()) return;
+  if (connection.state == State::kPending) connection.timer.Set(connection.deadline);
   events_.OnAttemptSent(connection.owner);
 }
 
@@ -147,6 +168,7 @@
   if (end == AttemptEnd::kTimedOut) ++counters_.attempts_timed_out;
   if (end == AttemptEnd::kRejected) ++counters_.attempts_rejected;
   if (end == AttemptEnd::kError) ++counters_.attempts_failed;
+  if (end == AttemptEnd::kTooLate) ++counters_.attempts_too_late;
 }
 
 void Upstream::EndAttempt(Connection& attempt, AttemptEnd end, std::string_view line) {
@@ -274,27 +296,30 @@
     FailProbe(*connection, {});
   } else if (connection->state == State::kPending) {
     // A request that was not written completely has not run, whatever the reason of the time-out.
-    EndAttempt(*connection, connection->sent ? AttemptEnd::kTimedOut : AttemptEnd::kNotConnected, {});
+    const AttemptEnd unsent_end = WriteObstacle(*connection, loop_.Now()).value_or(AttemptEnd::kNotConnected);
+    EndAttempt(*connection, connection->sent ? AttemptEnd::kTimedOut : unsent_end, {});
   }
 }
 
 void Upstream::OnConnected(SlotId id) {
   Connection* connection = connections_.Find(id);
   if (connection == nullptr) return;
-  if (!connection->IsProbe()) {
-    events_.OnAttemptConnected(connection->owner);
-    connection = connections_.Find(id);  // The owner may have closed it.
-    if (connection == nullptr) return;
-  }
-  connection->timer.Set(connection->deadline);
+  connection->timer.Set(std::min(connection->deadline, connection->request.send_before));
   if (connection->IsProbe()) {
     connection->tcp.Write({kProbeLine});
   } else {
-    SendRequest(*connection);
+    SendRequest(id);
+    connection = connections_.Find(id);
+    if (connection == nullptr) return;
   }
   if (connection->tcp.QueuedBytes() == 0 && !connection->tcp.IsBroken()) OnSent(*connection);
 }
 
+void Upstream::OnBeforeFlush(SlotId id) {
+  const Connection* connection = connections_.Find(id);
+  if (connection != nullptr && connection->IsUnsentAttempt()) MayWriteRequest(id);
+}
+
 void Upstream::OnWritable(SlotId id) {
   Connection* connection = connections_.Find(id);
   if (connection == nullptr) return;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -22,9 +23,9 @@
 namespace stoatrun {
 
 // How an attempt ended: one value for each row of the protocol's outcome table, and for attempts that were
-// not started: kQuotaExhausted, as a fleet-wide quota was exhausted, and kListOverdue, as the endpoint may be
-// draining without the proxy's knowledge. Logs contain the numeric value, so
-// the order must not change.
+// not sent: kQuotaExhausted, as a fleet-wide quota was exhausted, kListOverdue, as the endpoint may be
+// draining without the proxy's knowledge, and kTooLate, as the time in which the request may be written was
+// over. Logs contain the numeric value, so the order must not change.
 enum class AttemptEnd : std::uint8_t {
   kServed,
   kMigrated,  // The endpoint answered MOVE: the client is to reconnect.
@@ -35,7 +36,8 @@
   kTimedOut,
   kAbandoned,  // Cancelled by the proxy.
   kQuotaExhausted,
-  kListOverdue
+  kListOverdue,
+  kTooLate
 };
 
 // The request that an attempt sends. The views must stay valid until the attempt has connected.
@@ -43,15 +45,16 @@
   std::string_view before_timeout, after_timeout;  // The request line before and after its timeout.
   bool sends_timeout = true;                       // Whether the remaining time is written between the two.
   Micros timeout{0};                               // Of the whole attempt, including its connect.
+  Micros send_before = Micros::max();              // Nothing is written at this time or later.
 };
 
 // Receives the results of attempts and probes. `owner` is the id that was passed to Open.
 class UpstreamEvents {
  public:
   virtual ~UpstreamEvents() = default;
-  // The connection is established and nothing has been sent yet. This is the owner's last opportunity to
-  // close the attempt before its request is sent.
-  virtual void OnAttemptConnected(SlotId /*owner*/) {}
+  // The request, or a remaining part of it, is about to be written. This is the owner's last opportunity to
+  // close the attempt before that.
+  virtual void OnBeforeRequestWrite(SlotId /*owner*/) {}
   // The last byte of the request line was written to the socket. From now on the endpoint may run the
   // request.
   virtual void OnAttemptSent(SlotId /*owner*/) {}
@@ -103,6 +106,7 @@
   void OnConnected(SlotId id) override;
   void OnData(SlotId id) override;
   void OnEnd(SlotId id, ConnectionEnd end) override;
+  void OnBeforeFlush(SlotId id) override;
   void OnWritable(SlotId id) override;
 
  private:
@@ -118,6 +122,7 @@
           tcp(upstream.loop_, upstream, slot),
           timer(upstream.loop_.timers, [&upstream, slot] { upstream.OnTimeout(slot); }) {}
     bool IsProbe() const { return kind == Kind::kProbe; }
+    bool IsUnsentAttempt() const { return !IsProbe() && state == State::kPending && !sent; }
     SlotId id, owner;
     EndpointIndex endpoint;
     Kind kind;
@@ -144,7 +149,14 @@
   };
 
   void Connect(Connection& connection);
-  void SendRequest(Connection& attempt);
+  // Why the attempt's request must not be written at `now`; nullopt if it may be.
+  std::optional<AttemptEnd> WriteObstacle(const Connection& attempt, Micros now) const;
+  // Checks whether the attempt's request, or the rest of it, may be written now, and ends the attempt if not.
+  // Since the decision to send it time has passed, in which the connection came up, the socket became
+  // writable, or the process did not run. Must be called immediately before each write.
+  bool MayWriteRequest(SlotId id);
+  // Writes the request, if it may be written. The attempt may have ended afterwards.
+  void SendRequest(SlotId id);
   void OnSent(Connection& connection);
   void OnTimeout(SlotId id);
   void EndAttempt(Connection& attempt, AttemptEnd end, std::string_view line);
--- a/tests/balancer/retry_policy_test.cpp
+++ b/tests/balancer/retry_policy_test.cpp
@@ -144,6 +144,27 @@
   EXPECT_EQ(ActionsOfType<FailRequest>(actions).size(), 1U);
 }
 
+// Guards against a repeat that is written after the deduplication window: its connection may come up late.
+TEST(Idempotency, KeyedRetryTellsItsCallerUntilWhenItMayBeWritten) {
+  BalancerFixture fixture(NoProbeSettings(Idempotency::kIdempotencyKey));
+  fixture.UpdateEndpoints({ReadyEndpoint(5), ReadyEndpoint(6)});
+  const Micros window_end = fixture.now + Milliseconds(800);
+  const auto first = ActionsOfType<SendAttempt>(fixture.SendRequest(1, Milliseconds(3000)));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_FALSE(first[0].send_before);
+  fixture.now += Milliseconds(300);
+  const auto repeats = ActionsOfType<SendAttempt>(
+      fixture.EndAttempt(1, static_cast<std::uint64_t>(first[0].endpoint), Outcome::kError));
+  ASSERT_EQ(repeats.size(), 1U);
+  EXPECT_EQ(repeats[0].send_before, window_end);
+  // Counted from the first attempt that may have run, not from the latest.
+  fixture.now += Milliseconds(300);
+  const auto third = ActionsOfType<SendAttempt>(
+      fixture.EndAttempt(1, static_cast<std::uint64_t>(repeats[0].endpoint), Outcome::kError));
+  ASSERT_EQ(third.size(), 1U);
+  EXPECT_EQ(third[0].send_before, window_end);
+}
+
 TEST(Idempotency, KeyedThatMayHaveRunIsRejectedOnlyInAScopeOfAll) {
   for (const DeduplicationScope scope : {DeduplicationScope::kAll, DeduplicationScope::kCell}) {
     BalancerFixture fixture(NoProbeSettings(Idempotency::kIdempotencyKey, scope));
--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -15,33 +15,11 @@
 #include "base/unique_fd.h"
 #include "proxy/loopback_fixture.h"
 #include "proxy/loopback_peer.h"
+#include "proxy/upstream_fixture.h"
 
 namespace stoatrun {
 namespace {
 
-// Ignores all events.
-struct IgnoringEvents : UpstreamEvents {
-  void OnAttemptEstablished(SlotId /*owner*/, std::string_view /*line*/) override {}
-  void OnAttemptEnded(SlotId /*owner*/, AttemptEnd /*end*/, std::string_view /*line*/) override {}
-  void OnAttemptBytes(SlotId /*owner*/) override {}
-  void OnAttemptFinished(SlotId /*owner*/, ConnectionEnd /*end*/) override {}
-  void OnAttemptWritable(SlotId /*owner*/) override {}
-  void OnProbeCompleted(EndpointIndex /*endpoint*/, bool /*succeeded*/,
-                        std::string_view /*report*/) override {}
-};
-
-// A listening endpoint whose connections the test accepts.
-struct ListeningSocket {
-  ListeningSocket() {
-    server.Listen();
-    address = "127.0.0.1:" + std::to_string(server.port);
-  }
-  // Accepts a connection as a blocking socket; returns an empty UniqueFd if none is queued.
-  UniqueFd Accept() const { return UniqueFd(accept(server.listener.Get(), nullptr, nullptr)); }
-  LoopbackServer server;
-  std::string address;
-};
-
 // A request that was not written completely has not run and may be retried, whatever its class.
 TEST_CASE_METHOD(SingleEndpointFixture,
                  "whether a broken attempt may have run depends on the last byte of its request line") {
@@ -77,7 +55,7 @@
   const ListeningSocket endpoint;
   struct ResettingEvents : IgnoringEvents {
     explicit ResettingEvents(const ListeningSocket& accepting) : socket(accepting) {}
-    void OnAttemptConnected(SlotId /*owner*/) override {
+    void OnBeforeRequestWrite(SlotId /*owner*/) override {
       LoopbackPeer peer;
       peer.socket = socket.Accept();
       peer.Close(CloseMode::kReset);
