A waiting request that can't be repeated any more is answered when its window ends

What callers saw: a `deduplicated` request that may have run and waits for an endpoint got its final answer only at its deadline, though nothing could be done for it from the end of its repeat window on.

Cause: Balancer::CheckRequest looked at the deadline alone; Placement::CanSend then refused every endpoint, so the request went on waiting.

Fix: the wait ends at the window's end at the latest, and CheckRequest gives the final answer to a waiting request that is no longer safe to repeat.

The new test failed before (0 answers by 10 ms after the window, 1 expected) and passes; all 78 balancer tests pass.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -234,6 +234,7 @@
     }
   }
   void Wait(Request& request, Micros delay) {
+    if (const auto end = request.RepeatDeadline()) delay = std::min(delay, *end - context_.now);
     request.placement_deadline = context_.now + delay;
     if (!std::exchange(request.waiting, true)) waiting_.push_back(&request);
     ScheduleCheck(request, delay);
@@ -340,7 +341,8 @@
   void CheckRequest(RequestId id) {
     Request* request = requests_.Find(id);
     if (request == nullptr || request->finished || request->IsEstablished()) return;
-    if (context_.now >= request->info.deadline) return SendFinalAnswer(*request);
+    const bool can_be_sent = !request->waiting || request->IsSafeToRepeat(context_.now);
+    if (context_.now >= request->info.deadline || !can_be_sent) return SendFinalAnswer(*request);
     if (!request->waiting || context_.now < request->placement_deadline || TryPlace(*request)) return;
     Wait(*request, context_.random.Jittered(kTickInterval, 0.25, 0.5));
   }
--- a/tests/balancer/retry_policy_test.cpp
+++ b/tests/balancer/retry_policy_test.cpp
@@ -165,6 +165,19 @@
   EXPECT_EQ(third[0].send_before, window_end);
 }
 
+// Guards against a final answer that is delayed to the client's deadline although the request, which waits
+// for an endpoint, can't be repeated any more.
+TEST(FinalAnswer, IsSentWhenTheDeduplicationWindowOfAWaitingRequestEnds) {
+  BalancerFixture fixture(NoProbeSettings(Idempotency::kIdempotencyKey));
+  fixture.UpdateEndpoints({ReadyEndpoint(5)});
+  ASSERT_EQ(ActionsOfType<SendAttempt>(fixture.SendRequest(1, Milliseconds(3000))).size(), 1U);
+  fixture.UpdateEndpoints({}, EndpointUpdate::Kind::kFull);
+  fixture.AdvanceTime(Milliseconds(500));
+  EXPECT_EQ(CountAnswers(fixture.EndAndAdvance(1, 5, Outcome::kError, Milliseconds(290))), 0U);
+  EXPECT_EQ(CountAnswers(fixture.AdvanceTime(Milliseconds(20))), 1U);
+  EXPECT_EQ(CountAnswers(fixture.AdvanceTime(Milliseconds(3000))), 0U);
+}
+
 TEST(Idempotency, KeyedThatMayHaveRunIsRejectedOnlyInAScopeOfAll) {
   for (const DeduplicationScope scope : {DeduplicationScope::kAll, DeduplicationScope::kCell}) {
     BalancerFixture fixture(NoProbeSettings(Idempotency::kIdempotencyKey, scope));
