Nothing is written to an endpoint from the turn in which its drain is known

What callers could see: a request at an endpoint that drains, later than its grace allows.

Cause: attempts whose line was not yet written were given up by a timer at 0.6 of the grace (0.15 of 0.25 s). A process that is held up for 0.15 s before it reads the update and again before it writes uses 0.45 s; and a connection that came up, or a socket that took the rest of a line, in the same turn as the timer was not looked at.

Fix: such attempts end in the next turn, as not connected, so that any class may try elsewhere; and Upstream::WriteObstacle looks at the endpoint's state before each write. The whole grace is left for hold-ups. Attempts that resume a connection (`at=`) go to their endpoint though it drains, as the protocol allows; a drain no longer ends them.

--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -29,7 +29,6 @@
   Upstream::Timeouts timeouts;
   if (site.connect_timeout.count() > 0) timeouts.connect = site.connect_timeout;
   if (site.idle_timeout.count() > 0) timeouts.idle_timeout = site.idle_timeout;
-  if (site.stop_sending_within.count() > 0) timeouts.stop_sending = site.stop_sending_within;
   return timeouts;
 }
 
--- a/src/proxy/session_resumption.cpp
+++ b/src/proxy/session_resumption.cpp
@@ -41,7 +41,8 @@
   }
   session.endpoint = *endpoint;
   const bool sends_timeout = !session.after_timeout.empty() || session.request.deadline > loop_.Now();
-  const AttemptRequest request{session.before_timeout, session.after_timeout, sends_timeout, kAttemptTimeout};
+  AttemptRequest request{session.before_timeout, session.after_timeout, sends_timeout, kAttemptTimeout};
+  request.may_be_draining = true;  // The endpoint holds the connection already.
   session.attempt = upstream_.Open(session.id, *endpoint, request);
 }
 
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -18,9 +18,6 @@
 // Idle probe connections are closed after this fraction of the endpoint's idle timeout, before the endpoint
 // closes them.
 constexpr double kIdleTimeoutFraction = 0.8;
-// Unsent requests to a draining endpoint are cancelled after this fraction of its grace time. The rest allows
-// for scheduling delays on a busy machine.
-constexpr double kDrainGraceFraction = 0.6;
 // Limits the idle connections kept for further probes: however many endpoints are listed, these connections
 // and the few other descriptors of the process must fit into those that Downstream reserves for non-client
 // use.
@@ -56,11 +53,10 @@
     if (endpoints_.Get(endpoint).state == EndpointState::kReady) {
       has_drain_timer = false;
     } else if (!has_drain_timer) {
-      // Nothing may be sent after the grace time. An attempt that is still connecting could exceed it with
-      // its first byte.
+      // The whole grace time is left for a process that is held up, before it reads the update and again
+      // before it writes.
       has_drain_timer = true;
-      const Micros grace = TimeFraction(timeouts_.stop_sending, kDrainGraceFraction);
-      drain_timers_.Add(*this, endpoint).timer.Set(loop_.Now() + grace);
+      drain_timers_.Add(*this, endpoint).timer.Set(loop_.Now() + kNextTurnDelay);
     }
   }
 }
@@ -69,7 +65,8 @@
   if (endpoints_.Get(endpoint).state == EndpointState::kReady) return;
   std::vector<SlotId> connections_to_end;
   connections_.ForEach([&](const Connection& connection) {
-    if (connection.endpoint == endpoint && (!connection.sent || connection.state == State::kIdle)) {
+    const bool is_affected = !connection.sent || connection.state == State::kIdle;
+    if (connection.endpoint == endpoint && is_affected && !connection.request.may_be_draining) {
       connections_to_end.push_back(connection.id);
     }
   });
@@ -126,7 +123,9 @@
 
 std::optional<AttemptEnd> Upstream::WriteObstacle(const Connection& attempt, Micros now) const {
   if (now >= attempt.request.send_before) return AttemptEnd::kTooLate;
-  if (now >= attempt.deadline) return AttemptEnd::kNotConnected;
+  const bool may_be_sent_to =
+      attempt.request.may_be_draining || endpoints_.Get(attempt.endpoint).state == EndpointState::kReady;
+  if (now >= attempt.deadline || !may_be_sent_to) return AttemptEnd::kNotConnected;
   return std::nullopt;
 }
 
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -46,6 +46,7 @@
   bool sends_timeout = true;                       // Whether the remaining time is written between the two.
   Micros timeout{0};                               // Of the whole attempt, including its connect.
   Micros send_before = Micros::max();              // Nothing is written at this time or later.
+  bool may_be_draining = false;                    // Whether the endpoint need not be ready.
 };
 
 // Receives the results of attempts and probes. `owner` is the id that was passed to Open.
@@ -80,7 +81,6 @@
   struct Timeouts {
     Micros connect{250'000};
     Micros idle_timeout{10'000'000};  // After which endpoints close idle connections.
-    Micros stop_sending{250'000};  // Grace time of a drain, after which nothing may be sent to the endpoint.
   };
 
   // All references must outlive the object.
@@ -134,7 +134,7 @@
     bool sent = false;    // The whole request line, or the probe's line, was written to the socket.
     bool reused = false;  // An idle probe connection that is used again.
   };
-  // Runs StopSending for a draining endpoint before its grace time ends.
+  // Runs StopSending for a draining endpoint in the next turn, when the balancer knows of the drain too.
   struct DrainTimer {
     DrainTimer(SlotId slot, Upstream& upstream, EndpointIndex endpoint)
         : timer(upstream.loop_.timers, [&upstream, slot, endpoint] {
--- a/tests/proxy/request_write_test.cpp
+++ b/tests/proxy/request_write_test.cpp
@@ -131,6 +131,47 @@
   }
 }
 
+// Guards against requests to an endpoint that drains: a connection came up, or the rest of a line was
+// written, in the time for which the process was held up at the end of the grace time.
+TEST_CASE_METHOD(WriteFixture,
+                 "nothing is written to an endpoint from the turn in which its drain is known") {
+  const EndpointState state = GENERATE(EndpointState::kDraining, EndpointState::kGone);
+  SECTION("before the connection is up") {
+    Open();
+    const UniqueFd connection = AwaitConnection();
+    SECTION("known before the turn") { Update(state); }
+    SECTION("known as the request is about to be written") {
+      before_write = [&] { Update(state); };
+    }
+    CHECK(Receive(connection).empty());
+  }
+  SECTION("after a part of the request") {
+    const std::string request(kOversizedRequest, 'x');
+    Open(request);
+    const UniqueFd connection = AwaitConnection();
+    for (int k = 0; k < 20; ++k) loop.Poll();
+    REQUIRE(sent == 0);
+    Update(state);
+    loop.Poll();
+    loop.clock.Advance(milliseconds(1));  // Far less than the grace time.
+    CHECK(Receive(connection).size() < kOversizedRequest);
+  }
+  CHECK(sent == 0);
+  CHECK(ends == std::vector{AttemptEnd::kNotConnected});
+}
+
+// Guards against a client that can't resume its connection at the endpoint that holds it, as that drains.
+TEST_CASE_METHOD(WriteFixture, "a connection is resumed at an endpoint that drains") {
+  const EndpointState state = GENERATE(EndpointState::kDraining, EndpointState::kGone);
+  AttemptRequest attempt{"OPEN 1 k at=s-1,d=", "", true, Micros(milliseconds(1000))};
+  attempt.may_be_draining = true;
+  upstream.Open({}, 0, attempt);
+  const UniqueFd connection = AwaitConnection();
+  Update(state);
+  CHECK(Receive(connection).ends_with("\r\n"));
+  CHECK(sent == 1);
+}
+
 // Guards against repeats that reach an endpoint after it has forgotten the idempotency key. The window of the
 // class is 1 s.
 TEST_CASE_METHOD(SingleEndpointFixture, "a deduplicated request is not repeated after its window") {
