An attempt that was not sent is no recent placement

What callers could see: BUSY for some two seconds after the endpoint list had been overdue, or a quota exhausted, though endpoints had room.

Cause: each decided attempt is counted as a placement, and admission assumes that the other replicas place as often (ConcurrentLoad). Attempts that end as kNotSent, because the list is overdue, the repeat window is over or a quota is exhausted, stayed in that count.

Evidence: a test of overdue lists was answered BUSY after the list had arrived, with an endpoint at 0.2; 40 rejected requests had raised the count to about 40.

Fix: Admission::RecordNotSent takes the placement back. Slow-start tokens are not given back: the endpoint may have been started anew since, and its budget binds.

--- a/src/balancer/admission.h
+++ b/src/balancer/admission.h
@@ -41,6 +41,8 @@
     successes_.Increment(context_.now);
     if (!is_reconnect) arrivals_.Increment(context_.now);
   }
+  // An attempt was not sent. It is no placement, as no endpoint has seen it.
+  void RecordNotSent() { placements_.Decrement(context_.now); }
   // Takes the outcome of an attempt that ended before it was established.
   void RecordFailedSetup(Outcome outcome) {
     --setups_in_flight_;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -311,6 +311,7 @@
                     [&](const auto& placed) { return placed.id == request.info.id; });
       admission_.RecordFailedSetup(outcome);
     }
+    if (outcome == Outcome::kNotSent) admission_.RecordNotSent();
     if (NeverRan(outcome) || std::exchange(request.may_have_run, true)) return;
     request.first_run_endpoint = &endpoint;
     request.first_run_sent_at = request.sent_at;
--- a/src/base/decaying_counter.h
+++ b/src/base/decaying_counter.h
@@ -3,6 +3,7 @@
 #ifndef STOATRUN_BASE_DECAYING_COUNTER_H_
 #define STOATRUN_BASE_DECAYING_COUNTER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -24,6 +25,11 @@
     count_ = ValueAt(now) + 1;
     updated_at_ = now;
   }
+  // Takes back an increment that was made shortly before `now`.
+  void Decrement(std::chrono::microseconds now) {
+    count_ = std::max(0.0, ValueAt(now) - 1);
+    updated_at_ = now;
+  }
 
  private:
   double time_constant_;  // Seconds.
--- a/tests/balancer/admission_test.cpp
+++ b/tests/balancer/admission_test.cpp
@@ -47,6 +47,25 @@
   }
 }
 
+// Guards against rejections after a time in which attempts were decided but not sent, as while the endpoint
+// list was overdue: each used to count as a placement that the other replicas make too.
+TEST(Admission, AttemptsThatWereNotSentAreNoPlacements) {
+  Settings settings = DefaultSettings();
+  settings.replicas = 10;
+  BalancerFixture fixture(settings);
+  fixture.UpdateEndpoints({ReadyEndpoint(1)});
+  fixture.SendRequest(1);
+  fixture.ReportLoad(1, 0.2, 5);
+  fixture.EndAttempt(1, 1, Outcome::kServed, true);
+  for (std::uint64_t id = 2; id < 42; ++id) {
+    fixture.SendRequest(id);
+    fixture.ReportLoad(1, 0.2, 5);
+    fixture.EndAttempt(id, 1, Outcome::kNotSent);
+  }
+  fixture.SendRequest(100);
+  EXPECT_EQ(ActionsOfType<SendAttempt>(fixture.ReportLoad(1, 0.2, 5)).size(), 1U);
+}
+
 TEST(Admission, CountsConcurrentPlacementsOfOtherReplicas) {
   // Ten endpoints at 0.7 with one connection of this replica each. The nine other replicas are assumed to
   // have as many, so one more connection per endpoint and replica adds 0.7. At the same utilization, one
