After a reload a heartbeat before the whole list proves nothing

What callers could see: requests to endpoints that drain, without limit, after a reload to an address that answers with heartbeats but not with the list ("half an answer").

Cause: WatchCall took each line end between objects for an event. The first one made the new call the watch, counted the list as current and closed the old address's watch, though the complete list (after=0) that the new address owes had not come.

Fix: while the whole list was requested and no update has come, a line end is no event. The old watch stays in use, and the call times out like a silent one.

--- a/src/endpoint/watch_call.cpp
+++ b/src/endpoint/watch_call.cpp
@@ -128,8 +128,9 @@
 void WatchCall::HandleBody(std::string_view body) {
   if (rejected_ || malformed_ || phase_ == Phase::kClosed) return;
   const auto on_object = [this](std::string_view object) { return HandleUpdate(object); };
+  // Before the complete list that was requested, a heartbeat proves nothing.
   const auto on_line_end = [this] {
-    if (phase_ != Phase::kClosed) HandleEvent();
+    if (phase_ != Phase::kClosed && (revision_ != 0 || updated_)) HandleEvent();
   };
   // Data after a malformed object can't be trusted, so the watch is renewed.
   malformed_ = !framer_.Feed(body, on_object, on_line_end);
@@ -154,6 +155,7 @@
     LogLine(Level::kWarn, "discovery sent a malformed endpoint list").Reason(error.what());
     return false;
   }
+  updated_ = true;
   HandleEvent();
   if (phase_ == Phase::kClosed) return false;
   handler_.OnCallUpdate(*this, update);
--- a/src/endpoint/watch_call.h
+++ b/src/endpoint/watch_call.h
@@ -90,6 +90,7 @@
   std::uint64_t revision_ = 0;  // Requested.
   Phase phase_ = Phase::kWaiting;
   bool rejected_ = false;        // The status is not 200.
+  bool updated_ = false;         // An update was received.
   bool ended_ = false;           // The response is complete.
   bool malformed_ = false;       // The body can't be split into valid objects.
   bool connect_failed_ = false;  // At once, in Start.
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -239,6 +239,25 @@
   CHECK(fixture.Counts().attempts_denied_by_overdue_list <= 3000 / kIntervalMs + 1);
 }
 
+// Guards against a reload after which the list of the old address stays in effect without limit: a new
+// address that sent a heartbeat, but not the list, used to count as current, and the old watch was closed.
+TEST_CASE("after a reload a heartbeat before the whole list proves nothing") {
+  LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(2, 205)});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery mute\nreload discovery2");
+  TimeToCall(fixture, "discovery2", 0, 4000);
+  fixture.Play(R"(discovery2 plain HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n\n)");
+  SECTION("the old address still tells changes") {
+    fixture.Play(R"(discovery send {"revision":2,"complete":true,"members":[]})");
+    CHECK(fixture.Counts().endpoint_updates == 2);
+  }
+  SECTION("heartbeats alone don't keep the new watch") {
+    for (int ms = 0; ms < 2600; ms += 200) fixture.Play("discovery2 plain \\n\nwait 200");
+    CHECK(TimeToCall(fixture, "discovery2", 1, 2000) < 2000);
+  }
+}
+
 // Guards against rejections in an outage, or after a reload with a wrong address: nothing can be known then.
 TEST_CASE("while calls to discovery fail the list stays in effect, and is not overdue") {
   LoopbackFixture fixture({"s-1"}, {.fleet_size = GENERATE(1, 205)});
