Failed and unanswered calls of discovery no longer postpone an overdue list

From 6.3 s after the silence to 8.5 s both relays went on sending to an endpoint that drained: 7 to 9 requests.

Cause: UpdateDeadline put the time from which missed changes count as known off by 6 s from the start of each call that failed, and by 2 s from each time-out. Calls that were answered in part, or for which no socket could be opened, counted as an outage as well; pushed lists were never overdue; a reload to the same address did not start its 4 s; and rejections ended 3 s after the deadline while calls still failed.

Fix: the deadline depends on events and reloads alone. A failed call counts as an outage only if it fails within 0.25 s, or was refused, and not after a silence; an agent's only if it answers nothing at all. An agent's call is repeated after 1 s, and at most 3 calls wait for an answer.

--- a/src/base/tcp_connection.cpp
+++ b/src/base/tcp_connection.cpp
@@ -69,9 +69,13 @@
 
 bool TcpConnection::Connect(const Address& address) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return false;
+  if (fd < 0) {
+    connect_error_ = errno;
+    return false;
+  }
   if (connect(fd, reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0 &&
       errno != EINPROGRESS) {
+    connect_error_ = errno;
     close(fd);
     return false;
   }
@@ -227,6 +231,7 @@
   int error = 0;
   socklen_t size = sizeof error;
   if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    connect_error_ = error;
     broken_ = true;
     handler_.OnEnd(id_, ConnectionEnd::kReset);
     return;
--- a/src/base/tcp_connection.h
+++ b/src/base/tcp_connection.h
@@ -97,6 +97,8 @@
   bool PeerFinished() const { return peer_finished_; }
   // Returns true if there is a connected socket.
   bool IsConnected() const { return IsOpen() && !connecting_; }
+  // The error (errno) with which Connect failed, at once or later; 0: it has not failed.
+  int ConnectError() const { return connect_error_; }
   // Returns true if the connection has failed; OnEnd has reported it or will.
   bool IsBroken() const { return broken_; }
 
@@ -142,6 +144,7 @@
   SlotId id_;
   ev_io watcher_{};
   int fd_ = -1;
+  int connect_error_ = 0;
   bool connecting_ = false;
   bool reading_ = true;
   bool peer_finished_ = false;
--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -1,6 +1,8 @@
 #include "endpoint/discovery_client.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -10,6 +12,12 @@
 namespace stoatrun {
 namespace {
 
+// A shared service handles calls sequentially, so an answer may take seconds. An agent answers at once.
+constexpr Micros kAnswerTimeout = std::chrono::milliseconds(3500);
+constexpr Micros kAgentAnswerTimeout = std::chrono::seconds(1);
+// Calls that may wait for an answer at the same time.
+constexpr std::size_t kMaxPendingCalls = 3;
+
 // The reasons in the log, which operators search for.
 const char* LogName(WatchFailure failure) {
   switch (failure) {
@@ -27,6 +35,14 @@
   return "";
 }
 
+// Returns what the failure of `call` shows of the service.
+CallFailure Evidence(const WatchCall& call, WatchFailure failure) {
+  if (call.WasRefused()) return CallFailure::kRefused;
+  if (call.HasAnswer()) return CallFailure::kOther;
+  if (failure == WatchFailure::kTimedOut) return CallFailure::kUnanswered;
+  return call.HasConnected() ? CallFailure::kNoAnswer : CallFailure::kOther;
+}
+
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(EventLoop& loop, DiscoveryListener& listener, Counters& counters,
@@ -37,10 +53,11 @@
       counters_(counters),
       address_(address),
       host_(std::move(host)),
+      answer_timeout_(pacing.source == ListSource::kLocalAgent ? kAgentAnswerTimeout : kAnswerTimeout),
       revision_(known_revision),
       next_call_(loop.timers, [this] { StartCall(); }),
       backoff_(pacing.callers, pacing.max_delay, pacing.jitter_seed),
-      deadline_(loop.Now()),
+      deadline_(loop.Now(), pacing.source),
       last_event_at_(loop.Now()) {
   loop_.AddTurnEndHook([this] { calls_.Reclaim(); });
 }
@@ -52,6 +69,7 @@
 
 void DiscoveryClient::ChangeAddress(const Address& address, std::string host) {
   const bool same_host = host == host_;
+  deadline_.OnReload(loop_.Now());
   // A second reload must not cancel the call that the first reload started.
   if (same_host && HasCallToCurrentAddress()) return;
   address_ = address;
@@ -60,7 +78,7 @@
   if (!same_host) revision_ = 0;
   // Backoff from failures at the old address must not delay calls to the new one.
   backoff_.Reset();
-  deadline_.OnReload(loop_.Now());
+  deadline_.OnAddressChanged();
   CloseCallsExcept(watch_);
   if (watching_) ScheduleFirstCall();
 }
@@ -96,7 +114,7 @@
 }
 
 bool DiscoveryClient::IsListOverdue() {
-  if (!watching_ || !deadline_.IsOverdue(loop_.Now())) return false;
+  if (!watching_ || !deadline_.IsOverdue(loop_.clock.Current())) return false;
   if (!std::exchange(overdue_logged_, true)) {
     LogLine(Level::kWarn, "endpoint list overdue, requests are rejected")
         .Field("list_age_ms", ToMilliseconds(loop_.Now() - last_event_at_));
@@ -105,8 +123,24 @@
 }
 
 void DiscoveryClient::StartCall() {
+  LimitPendingCalls();
   ++counters_.watch_calls;
-  calls_.Add(loop_, *this, host_).Start(address_, revision_);
+  deadline_.OnCallStarted(loop_.Now());
+  calls_.Add(loop_, *this, host_, answer_timeout_).Start(address_, revision_);
+}
+
+// Closes the oldest pending call if one more would be too many.
+void DiscoveryClient::LimitPendingCalls() {
+  WatchCall* oldest = nullptr;
+  std::size_t pending = 0;
+  calls_.ForEach([&](WatchCall& call) {
+    if (call.Id() == watch_) return;
+    ++pending;
+    if (oldest == nullptr || call.StartedAt() < oldest->StartedAt()) oldest = &call;
+  });
+  if (pending < kMaxPendingCalls) return;
+  oldest->Close();
+  calls_.Erase(oldest->Id());
 }
 
 void DiscoveryClient::CloseCallsExcept(SlotId remaining) {
@@ -155,10 +189,10 @@
     LogLine(Level::kInfo, "old watch ended").Reason(LogName(failure));
     return;
   }
-  if (!call.HasConnected()) {
-    deadline_.OnUnreachable(call.StartedAt());
-  } else if (!was_watch) {
-    deadline_.OnCallFailed(call.StartedAt());
+  if (!was_watch) {
+    deadline_.OnCallFailed(call.StartedAt(), loop_.Now(), Evidence(call, failure));
+  } else if (failure == WatchFailure::kTimedOut) {
+    deadline_.OnWatchSilent();
   }
   ScheduleRetry(call, failure);
 }
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -41,6 +41,7 @@
     std::uint32_t callers = 1;      // Proxies that share the service, including this one.
     std::uint64_t jitter_seed = 0;  // Seed of the backoff's jitter.
     Micros max_delay{6'000'000};    // Maximum delay between two calls.
+    ListSource source = ListSource::kSharedService;
   };
 
   // `host`: the value of the Host header. `known_revision`: the revision of the current endpoint list; 0:
@@ -66,6 +67,7 @@
   void ScheduleFirstCall();
   void ScheduleRetry(const WatchCall& call, WatchFailure failure);
   void StartCall();
+  void LimitPendingCalls();
   void CloseCallsExcept(SlotId remaining);
 
   EventLoop& loop_;
@@ -73,6 +75,7 @@
   Counters& counters_;
   Address address_;
   std::string host_;
+  const Micros answer_timeout_;
   std::uint64_t revision_;  // Of the current list; 0 if it came from another address.
   // The established watch and the calls that have had no event yet. There are several calls if one was not
   // answered in time, or after a reload.
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -7,77 +7,141 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 #include "base/clock.h"
 
 namespace stoatrun {
 
+// Who answers the calls.
+enum class ListSource : std::uint8_t {
+  kSharedService,  // Changes that it has count as known after some time.
+  kLocalAgent,     // Is pushed the lists. Answers at once, and not at all while it can't learn anything.
+};
+
+// What a failed call shows of the service.
+enum class CallFailure : std::uint8_t {
+  kRefused,     // Nothing listens at the address.
+  kNoAnswer,    // Was rejected, or broken before any part of an answer.
+  kUnanswered,  // Was given up without any part of an answer.
+  kOther,       // Was answered in part, or could not be made.
+};
+
 // Follows the events of the watch, the calls to the service and the reloads of one discovery client.
 class UpdateDeadline {
  public:
   // The list is assumed to be current at the start.
-  explicit UpdateDeadline(Micros now) : list_current_at_(now) {}
+  UpdateDeadline(Micros now, ListSource source) : source_(source), list_current_at_(now) {}
 
   // The service has sent an event: the list is current.
   void OnEvent(Micros now) {
     list_current_at_ = now;
+    watch_fell_silent_ = false;
     reload_deadline_.reset();
-    overdue_since_.reset();
+    ForgetCalls();
   }
-  // The client has been told to use another address of the service. Further reloads before the next event
+  // The watch has been silent for too long. What it missed counts as known in time, whatever calls do.
+  void OnWatchSilent() { watch_fell_silent_ = true; }
+  // The client has been told to use a service, the same or another one. Further reloads before the next event
   // don't extend the deadline.
   void OnReload(Micros now) {
     if (!reload_deadline_) reload_deadline_ = now + kKnownAfterReload;
   }
-  // A call has failed that was made at `called_at`: the service could not be used then.
-  void OnCallFailed(Micros called_at) { unavailable_at_ = std::max(unavailable_at_, called_at); }
-  // The same, as no connection could be made: nothing can be known of an address that does not exist.
-  void OnUnreachable(Micros called_at) {
-    OnCallFailed(called_at);
-    if (reload_deadline_) reload_deadline_ = std::max(*reload_deadline_, called_at + kKnownAfterReload);
-  }
+  // Further calls go to another address.
+  void OnAddressChanged() { ForgetCalls(); }
+  // A call begins.
+  void OnCallStarted(Micros now) { call_started_at_ = now; }
   // A call has not been answered in time.
-  void OnCallUnanswered(Micros now) { unanswered_at_ = now; }
-
-  // Whether changes may count as known that have not been received. After kMaxOverdue without an event this
-  // ends until the next event, whatever happens in between: the service is assumed to be out of order, and
-  // the current list is the best that there is.
-  bool IsOverdue(Micros now) {
-    Micros deadline = std::max({list_current_at_ + kKnownAfterChange, unavailable_at_ + kKnownAfterChange,
-                                unanswered_at_ + kKnownAfterUnansweredCall});
-    if (reload_deadline_) deadline = std::min(deadline, *reload_deadline_);
-    if (now < deadline) return false;
-    if (!overdue_since_) overdue_since_ = deadline;
-    return now < *overdue_since_ + kMaxOverdue;
+  void OnCallUnanswered(Micros now) {
+    unanswered_at_ = now;
+    has_unanswered_call_ = true;
+    if (source_ == ListSource::kSharedService) may_be_up_ = true;
+  }
+  // A call that was made at `called_at` has failed.
+  void OnCallFailed(Micros called_at, Micros now, CallFailure failure) {
+    failed_call_at_ = std::max(failed_call_at_, called_at);
+    if (failure != CallFailure::kUnanswered) has_unanswered_call_ = false;
+    call_started_at_.reset();
+    was_refused_ = failure == CallFailure::kRefused;
+    if (!ShowsOutage(failure, now - called_at)) may_be_up_ = true;
+    if (!may_be_up_) down_at_ = now;
+  }
+
+  // Whether changes may count as known that have not been received. A failed call does not postpone that: a
+  // crowded service fails calls too, and its changes count. Not while the service is shown to be down, as it
+  // has no changes then.
+  //
+  // Ends after a time without an event, whatever happens in between: the service is assumed to be out of
+  // order, and the current list is the best that there is.
+  bool IsOverdue(Micros now) const {
+    if (now < Deadline() || IsDown(now)) return false;
+    const bool is_certain = watch_fell_silent_ || reload_deadline_ || source_ == ListSource::kLocalAgent;
+    const Micros limit = is_certain ? kMaxOverdue : kMaxOverdueInDoubt;
+    return now < std::max(Deadline(), down_at_.value_or(Micros(0))) + limit;
   }
 
   // The time by which the next call must begin, so that it can be answered before the deadline. If that is no
-  // longer possible, the deadline is the one of the changes made since the service was last unavailable.
+  // longer possible, calls are spaced so that a service that is busy with them is not called too often.
   Micros LatestCall(Micros now) const {
-    Micros latest_call = list_current_at_ + kKnownAfterChange - kAnswerTime;
-    if (reload_deadline_) latest_call = std::min(latest_call, *reload_deadline_ - kAnswerTime);
+    const Micros latest_call = Deadline() - kAnswerTime;
     if (latest_call > now) return latest_call;
-    const Micros after_unanswered = unanswered_at_ + kKnownAfterUnansweredCall - kShortAnswerTime;
-    const Micros after_failure = unavailable_at_ + kKnownAfterChange - kAnswerTime;
-    return std::max({now, after_unanswered, after_failure});
+    const bool address_is_missing = was_refused_ && reload_deadline_;
+    const Micros spacing = (address_is_missing ? kKnownAfterReload : kKnownAfterChange) - kAnswerTime;
+    return std::max({now, unanswered_at_ + kSpacingAfterUnansweredCall, failed_call_at_ + spacing});
   }
 
  private:
   static constexpr Micros kKnownAfterChange = std::chrono::seconds(6);
   static constexpr Micros kKnownAfterReload = std::chrono::seconds(4);
-  static constexpr Micros kKnownAfterUnansweredCall = std::chrono::seconds(2);
-  static constexpr Micros kMaxOverdue = std::chrono::seconds(3);
+  // Bounds of IsOverdue: where changes that were missed count as known for certain, and where all calls may
+  // have failed because the service is down.
+  static constexpr Micros kMaxOverdue = std::chrono::seconds(30);
+  static constexpr Micros kMaxOverdueInDoubt = std::chrono::seconds(10);
   // Kept free for the answer of a service that is slow, or that all proxies call at the same time.
   static constexpr Micros kAnswerTime = std::chrono::milliseconds(2500);
-  // Where less time is left in all.
-  static constexpr Micros kShortAnswerTime = std::chrono::seconds(1);
+  static constexpr Micros kSpacingAfterUnansweredCall = std::chrono::seconds(1);
+  // A call that is neither answered nor failed after this time has been accepted by a service that is up.
+  static constexpr Micros kMaxTimeToFailAtOnce = std::chrono::milliseconds(250);
 
+  Micros Deadline() const {
+    const Micros deadline = list_current_at_ + kKnownAfterChange;
+    return reload_deadline_ ? std::min(deadline, *reload_deadline_) : deadline;
+  }
+  bool ShowsOutage(CallFailure failure, Micros age) const {
+    if (failure == CallFailure::kRefused) return true;
+    if (source_ == ListSource::kLocalAgent) return failure == CallFailure::kUnanswered;
+    // A call that fails after a while may have waited in the queue of a crowded service.
+    return failure == CallFailure::kNoAnswer && age < kMaxTimeToFailAtOnce;
+  }
+  bool IsDown(Micros now) const {
+    // An agent that does not answer any call has learned nothing.
+    if (source_ == ListSource::kLocalAgent && has_unanswered_call_) return !may_be_up_;
+    const bool waits = call_started_at_ && now >= *call_started_at_ + kMaxTimeToFailAtOnce;
+    if (watch_fell_silent_ || may_be_up_ || waits) return false;
+    return down_at_ && (!reload_deadline_ || was_refused_);
+  }
+  void ForgetCalls() {
+    call_started_at_.reset();
+    down_at_.reset();
+    has_unanswered_call_ = may_be_up_ = was_refused_ = false;
+  }
+
+  const ListSource source_;
   Micros list_current_at_;
-  Micros unanswered_at_{0};
-  Micros unavailable_at_{0};
+  bool watch_fell_silent_ = false;         // Since the last event.
   std::optional<Micros> reload_deadline_;  // Set from a reload to the next event.
-  std::optional<Micros> overdue_since_;    // Set when the list is found to be overdue, to the next event.
+
+  // The calls since the last event or change of the address.
+  std::optional<Micros> call_started_at_;  // The latest one, unless it has failed.
+  std::optional<Micros> down_at_;          // The latest time at which the service was shown to be down.
+  bool has_unanswered_call_ = false;       // And none has failed since.
+  bool may_be_up_ = false;                 // Some call has shown that, so that later ones show no outage.
+  bool was_refused_ = false;               // The latest one that has failed.
+
+  // The latest calls, for their spacing.
+  Micros unanswered_at_{0};
+  Micros failed_call_at_{0};
 };
 
 }  // namespace stoatrun
--- a/src/endpoint/watch_call.cpp
+++ b/src/endpoint/watch_call.cpp
@@ -25,11 +25,13 @@
 
 }  // namespace
 
-WatchCall::WatchCall(SlotId id, EventLoop& loop, WatchCallHandler& handler, std::string host)
+WatchCall::WatchCall(SlotId id, EventLoop& loop, WatchCallHandler& handler, std::string host,
+                     Micros answer_timeout)
     : id_(id),
       loop_(loop),
       handler_(handler),
       host_(std::move(host)),
+      answer_timeout_(answer_timeout),
       // After a pause of the process, the updates that arrived meanwhile precede the requests and the
       // timeout.
       connection_(loop, *this, id, IoPriority::kBeforeOthers),
@@ -49,7 +51,7 @@
   LogLine(Level::kInfo, "watch call").Field("discovery", host_).Field("revision", revision_);
   connect_failed_ = !connection_.Connect(address);
   // A connection that fails immediately is also reported by a later callback, like any other failure.
-  timeout_.Set(loop_.Now() + (connect_failed_ ? Micros(1) : kAnswerTimeout));
+  timeout_.Set(loop_.Now() + (connect_failed_ ? Micros(1) : answer_timeout_));
 }
 
 void WatchCall::Close() {
@@ -82,6 +84,7 @@
 
 void WatchCall::OnData(SlotId /*id*/) {
   if (phase_ == Phase::kClosed) return;
+  received_ = true;
   const std::string_view input = connection_.input();
   const std::size_t parsed = http_parser_execute(&parser_, &parser_settings_, input.data(), input.size());
   if (phase_ == Phase::kClosed) return;  // By the handler.
--- a/src/endpoint/watch_call.h
+++ b/src/endpoint/watch_call.h
@@ -7,6 +7,7 @@
 
 #include <http_parser.h>
 
+#include <cerrno>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -32,7 +33,7 @@
   // A complete event was received: a heartbeat, or an update that OnCallUpdate then passes on.
   virtual void OnCallEvent(WatchCall& call) = 0;
   virtual void OnCallUpdate(WatchCall& call, const EndpointUpdate& update) = 0;
-  // The service has not answered within WatchCall::kAnswerTimeout. The call goes on: the answer may be near,
+  // The service has not answered within the call's answer timeout. The call goes on: the answer may be near,
   // and a service that handles abandoned calls too would only get another one.
   virtual void OnCallUnanswered(WatchCall& call) = 0;
   // The call has failed and is closed.
@@ -42,11 +43,9 @@
 // A call, from Start to its failure or Close. It must stay allocated until a running callback has returned.
 class WatchCall : public TcpConnectionHandler {
  public:
-  // The service handles calls sequentially, so an answer may take seconds.
-  static constexpr Micros kAnswerTimeout = std::chrono::milliseconds(3500);
-
-  // `host`: the value of the Host header. `loop` and `handler` must outlive the call.
-  WatchCall(SlotId id, EventLoop& loop, WatchCallHandler& handler, std::string host);
+  // `host`: the value of the Host header. `answer_timeout`: after which OnCallUnanswered is called. `loop`
+  // and `handler` must outlive the call.
+  WatchCall(SlotId id, EventLoop& loop, WatchCallHandler& handler, std::string host, Micros answer_timeout);
 
   // Connects and requests the changes after `revision`; 0: the complete list.
   void Start(const Address& address, std::uint64_t revision);
@@ -57,8 +56,12 @@
   SlotId Id() const { return id_; }
   // The value of the Host header, which identifies the address.
   const std::string& Host() const { return host_; }
+  // Whether the service refused the connection.
+  bool WasRefused() const { return connection_.ConnectError() == ECONNREFUSED; }
   // Whether a connection to the service was made.
   bool HasConnected() const { return connected_; }
+  // Whether any part of an answer other than a rejection was received.
+  bool HasAnswer() const { return received_ && !rejected_; }
   // The time of Start.
   Micros StartedAt() const { return started_at_; }
 
@@ -84,6 +87,7 @@
   EventLoop& loop_;
   WatchCallHandler& handler_;
   const std::string host_;
+  const Micros answer_timeout_;
   TcpConnection connection_;
   Timer timeout_;
   Micros started_at_{0};
@@ -95,6 +99,7 @@
   bool malformed_ = false;       // The body can't be split into valid objects.
   bool connect_failed_ = false;  // At once, in Start.
   bool connected_ = false;
+  bool received_ = false;  // Any part of the response.
   JsonObjectFramer framer_;
   http_parser parser_{};
   http_parser_settings parser_settings_{};
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -29,7 +29,8 @@
       discovery_(loop, endpoint_updater_, counters_, config.discovery, config.discovery_text,
                  config.cached_endpoints.revision,
                  {pushed_ ? 1 : config.settings.balancer.replicas, config.settings.balancer.seed,
-                  MaxDiscoveryPollInterval(config.settings)}),
+                  MaxDiscoveryPollInterval(config.settings),
+                  pushed_ ? ListSource::kLocalAgent : ListSource::kSharedService}),
       downstream_(loop, controller_, counters_, DescriptorLimit(config)),
       operator_drain_(loop, counters_, sessions_, downstream_, controller_),
       shutdown_(loop, config.settings.max_deadline, sessions_, downstream_, controller_) {
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -164,7 +164,7 @@
         ToAttemptEnded(session_id, endpoint, AttemptEnd::kNotConnected, RequestState::kFinished, {}));
     return;
   }
-  if (IsListOverdue()) {
+  if (deps_.discovery.IsListOverdue()) {
     ++deps_.counters.attempts_denied_by_overdue_list;
     deps_.balancer.HandleEvent(
         ToAttemptEnded(session_id, endpoint, AttemptEnd::kListOverdue, RequestState::kOpen, {}));
@@ -193,12 +193,6 @@
       .Field("endpoint", deps_.upstream.Endpoints().IdOf(endpoint));
 }
 
-// What an agent has counts as known at once, so that there is no time in which the list becomes overdue. A
-// silent agent is down and has learned nothing.
-bool SessionController::IsListOverdue() {
-  return deps_.site.balancer.list_mode == balancer::ListMode::kSubscribed && deps_.discovery.IsListOverdue();
-}
-
 void SessionController::CancelAttempt(SlotId session_id, std::uint32_t attempt_number) {
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr || !session->IsPending() || !session->attempt ||
--- a/src/proxy/session_controller.h
+++ b/src/proxy/session_controller.h
@@ -64,9 +64,6 @@
   void WatchEndpoints() override;
 
  private:
-  // Whether the endpoint list may lack changes that the platform assumes the proxy to know.
-  bool IsListOverdue();
-
   // DownstreamEvents
   std::optional<OpenRequestError> Validate(const OpenRequest& request) override;
   SlotId OnOpen(SlotId client, const OpenRequest& request) override;
--- a/tests/proxy/endpoint_update_test.cpp
+++ b/tests/proxy/endpoint_update_test.cpp
@@ -104,6 +104,7 @@
   fixture.Play("wait 4000\ndiscovery watches 1\ndiscovery refuse\ndiscovery close\nwait 1000");
   CHECK(fixture.Counts().watch_failures == 1);
   fixture.Play("wait 2500\ndiscovery watches 2\ndiscovery serve\nwait 6000\ndiscovery watches 3");
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");  // The first event since the start.
   fixture.Play(kEstablishSession);
 }
 
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -19,8 +19,8 @@
 //   turns N | turn        runs N turns of the event loop after each following step (default 3), or 5 after a
 //                         step of discovery, if N is not 0; runs one turn
 //   s-1 down | full | load X            refuses connections; leaves them unanswered; sets its reported load
-//   discovery send JSON | close         sends a line of the watch; ends the watch
-//   discovery refuse | serve | down     answers 503; serves again; refuses connections
+//   discovery send JSON | close | reset sends a line of the watch; ends, or resets, the watch
+//   discovery refuse | serve | down | up    answers 503; serves again; refuses connections; accepts them
 //   discovery raw TEXT    sends a part of a line; \n stands for a line end
 //   discovery mute | plain TEXT         accepts calls without an answer; sends TEXT with \r and \n replaced
 //   discovery plain-first TEXT          the same, to the first call
@@ -110,6 +110,7 @@
   void Reload(const Step& step);
   // Commands of an endpoint.
   void TakeDown(LoopbackServer& endpoint, const Step& step);
+  void BringUp(LoopbackServer& server, const Step& step);
   void FillQueue(LoopbackServer& endpoint, const Step& step);
   void EndUnidentified(LoopbackServer& endpoint, const Step& step);
   void SetLoad(LoopbackServer& endpoint, const Step& step);
