An event of the watch counts from when it may have been sent, not from when it was read

What callers could see: after the process had been stopped, requests to an endpoint that drains, by up to the length of the stop too late, if the watch fell silent meanwhile.

After a stop of 2 s the event may be 2 s old, and changes that followed it count as known 2 s sooner.

Fix: EventLoop::PreviousTurn; what a turn reads has arrived since the previous one began.

The new test (a stop of 2 s) failed with the event counted from the present turn, and passes.

--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -1,12 +1,14 @@
 #include "base/event_loop.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/error.h"
 
 namespace stoatrun {
 
-EventLoop::EventLoop(Clock::Mode mode) : clock(mode), loop_(ev_loop_new(EVFLAG_AUTO)) {
+EventLoop::EventLoop(Clock::Mode mode)
+    : clock(mode), loop_(ev_loop_new(EVFLAG_AUTO)), previous_turn_(clock.Now()), current_turn_(clock.Now()) {
   if (loop_ == nullptr) throw Error(ErrorCode::kUnavailable, "libev could not create an event loop");
   ev_check_init(&check_, OnCheck);
   ev_set_priority(&check_, EV_MAXPRI);  // Runs before all other callbacks of the turn.
@@ -27,7 +29,9 @@
 }
 
 void EventLoop::OnCheck(struct ev_loop* /*loop*/, ev_check* watcher, int /*events*/) {
-  static_cast<EventLoop*>(watcher->data)->clock.Read();
+  auto* self = static_cast<EventLoop*>(watcher->data);
+  self->clock.Read();
+  self->previous_turn_ = std::exchange(self->current_turn_, self->Now());
 }
 
 void EventLoop::OnPrepare(struct ev_loop* loop, ev_prepare* watcher, int /*events*/) {
--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -33,6 +33,9 @@
   }
   // The time at the start of the current turn.
   Micros Now() const { return clock.Now(); }
+  // The time at the start of the previous turn. What the current turn reads has arrived since then, at any
+  // time: the process may not have run in between.
+  Micros PreviousTurn() const { return previous_turn_; }
   // Runs `hook` at the end of each turn, before the loop waits for events; hooks run in the order in which
   // they were added. A hook can't be removed: the objects it refers to must outlive the loop's last turn.
   void AddTurnEndHook(std::function<void()> hook) { turn_end_hooks_.push_back(std::move(hook)); }
@@ -61,6 +64,8 @@
   ev_prepare prepare_{};  // Runs at the end of a turn.
   ev_timer timer_{};      // Set to the expiry of the earliest timer in the queue.
   bool stopped_ = false;
+  Micros previous_turn_{0};
+  Micros current_turn_{0};
   std::vector<std::function<void()>> turn_end_hooks_;
 };
 
--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -157,7 +157,7 @@
   last_event_at_ = loop_.Now();
   // The old address's watch does not tell whether the new address has changes.
   if (call.Host() != host_) return;
-  deadline_.OnEvent(loop_.Now());
+  deadline_.OnEvent(loop_.PreviousTurn());  // The event may have been sent that early.
   overdue_logged_ = false;
   if (call.Id() == watch_) return;
   watch_ = call.Id();
--- a/tests/endpoint/overdue_list_test.cpp
+++ b/tests/endpoint/overdue_list_test.cpp
@@ -270,6 +270,17 @@
   trial.CheckSent();
 }
 
+// Guards against requests to an endpoint that drains after the process was stopped: an event that had been
+// sent long before it was read counted as just sent.
+TEST_CASE("an event counts from the earliest time at which it may have been sent") {
+  LoopbackFixture fixture({"s-1"});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("stall 2000 discovery raw \\n\ndiscovery mute\nwait 3900");
+  fixture.Play("a send OPEN 1 k c=watch,d=50\ns-1 expect OPEN 1*\nwait 200");
+  fixture.Play("b send OPEN 2 k c=watch,d=2000\nb expect BUSY*");
+}
+
 // Guards against rejections in an outage where lists are pushed: the agent is silent then, and has learned
 // nothing.
 TEST_CASE("while an agent does not answer the list stays in effect, and few calls wait for it") {
--- a/tests/proxy/loopback_commands.cpp
+++ b/tests/proxy/loopback_commands.cpp
@@ -28,6 +28,7 @@
 const std::map<std::string_view, LoopbackFixture::Handler>& LoopbackFixture::FixtureCommands() {
   static const std::map<std::string_view, Handler> kCommands{
       {"wait", &LoopbackFixture::Wait},
+      {"stall", &LoopbackFixture::Stall},
       {"turns", &LoopbackFixture::SetTurns},
       {"turn", &LoopbackFixture::PlayTurn},
       {"connect-idle", &LoopbackFixture::ConnectIdleClients},
@@ -50,6 +51,14 @@
   }
 }
 
+void LoopbackFixture::Stall(const Step& step) {
+  const int turns = std::exchange(turns_after_step_, 0);
+  PlayStep(ParseStep(step.argument));
+  turns_after_step_ = turns;
+  loop_.clock.Advance(std::chrono::milliseconds(std::stoi(step.verb)));
+  Turns(3);
+}
+
 void LoopbackFixture::SetTurns(const Step& step) { turns_after_step_ = std::stoi(step.verb); }
 
 void LoopbackFixture::PlayTurn(const Step& /*step*/) { Turn(); }
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -26,6 +26,7 @@
 //   discovery plain-first TEXT          the same, to the first call
 //   discovery watches N | asked TEXT | expect-end   checks the open watches; discovery2 has the same steps
 //   reload discovery2     applies a configuration with the address of discovery2
+//   stall MS STEP         plays STEP while the proxy is held up for so long
 //   wait MS | drain | stopped           advances the clock; starts the graceful shutdown (SIGTERM); has ended
 //   drain-call | activate               the operators' calls at the management address
 // clang-format on
@@ -98,6 +99,7 @@
 
   // Commands of the fixture itself.
   void Wait(const Step& step);
+  void Stall(const Step& step);
   void SetTurns(const Step& step);
   void PlayTurn(const Step& step);
   void ConnectIdleClients(const Step& step);
