The list is checked for being overdue immediately before each write of a request

What callers could see: a request to an endpoint that drains, as its connection came up (by up to connectTimeout) after the time from which the drain counts as known.

Cause: SessionController::OpenAttempt looked at the list when the attempt was decided.

Fix: OnBeforeRequestWrite looks too, before the whole request and before the rest of one; the attempt ends as not sent and the client gets its final answer. Connections that are resumed go to the endpoint that holds them, whatever the list.

--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -265,11 +265,19 @@
 
 // ---- attempts and probes ----
 
-// The client's FIN or reset may still be unread if it arrived in the same turn of the event loop. Reading it
-// now ends the attempt before anything more is written.
+// The list may have become overdue since the decision, and the client's FIN or reset may still be unread if
+// it arrived in the same turn of the event loop. Reading it now ends the attempt before anything more is
+// written.
 void SessionController::OnBeforeRequestWrite(SlotId session_id) {
-  const Session* session = deps_.sessions.Find(session_id);
+  Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
+  if (!session->IsResumed() && deps_.discovery.IsListOverdue()) {
+    ++deps_.counters.attempts_denied_by_overdue_list;
+    deps_.upstream.Close(std::exchange(session->attempt, {}));
+    deps_.balancer.HandleEvent(
+        ToAttemptEnded(session_id, session->endpoint, AttemptEnd::kListOverdue, RequestState::kOpen, {}));
+    return;
+  }
   if (TcpConnection* client = deps_.downstream.Find(session->client)) client->ReadNow();
 }
 
--- a/tests/endpoint/overdue_list_test.cpp
+++ b/tests/endpoint/overdue_list_test.cpp
@@ -270,6 +270,19 @@
   trial.CheckSent();
 }
 
+// Guards against requests to an endpoint that drains: an attempt was decided in time, and its connection came
+// up after the list had become overdue.
+TEST_CASE("an attempt whose connection comes up after the list is overdue is not written") {
+  LoopbackFixture fixture({"s-1"});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"revision":1,"members":[]})");
+  fixture.Play("discovery mute\nwait 5900\nturns 0\na send OPEN 1 k c=watch,d=2000");
+  while (fixture.Counts().attempts == 0) fixture.Play("turn");
+  fixture.Play("stall 200 b send PING\nturns 3\na expect BUSY*");
+  CHECK(fixture.Counts().classes[0].forwards == 0);
+  CHECK(fixture.Counts().attempts_denied_by_overdue_list == 1);
+}
+
 // Guards against requests to an endpoint that drains after the process was stopped: an event that had been
 // sent long before it was read counted as just sent.
 TEST_CASE("an event counts from the earliest time at which it may have been sent") {
