--- a/tests/endpoint/overdue_list_test.cpp
+++ b/tests/endpoint/overdue_list_test.cpp
@@ -22,7 +22,7 @@
 const std::string kRejection = R"(HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n)";
 
 // What a call meets.
-enum class CallTrouble {
+enum class CallFault {
   kRejectedAtOnce,
   kRejectedLate,
   kResetAtOnce,
@@ -37,7 +37,7 @@
 // How the relay lost the watch.
 enum class WatchLoss { kSilence, kReset, kReload };
 
-// A relay with one endpoint whose watch is lost, and whose calls of discovery then meet troubles in turn. The
+// A relay with one endpoint whose watch is lost, and whose calls of discovery then meet faults in turn. The
 // call after them is answered, late.
 class OverdueListTrial {
  public:
@@ -50,9 +50,9 @@
     fixture.Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1*\ns-1 send UP r1\na expect UP r1");
   }
 
-  // Loses the watch. `troubles`: what the next calls meet.
-  void Lose(std::vector<CallTrouble> troubles = {}) {
-    troubles_ = std::move(troubles);
+  // Loses the watch. `faults`: what the next calls meet.
+  void Lose(std::vector<CallFault> faults = {}) {
+    faults_ = std::move(faults);
     fixture.Play("discovery mute");
     if (loss_ == WatchLoss::kReset) fixture.Play("discovery reset");
     if (loss_ == WatchLoss::kReload) {
@@ -101,7 +101,7 @@
  private:
   void Reply(const std::string& text) { fixture.Play(service_ + " " + text); }
 
-  // Begins with the next trouble at each new call, and carries on with the present one.
+  // Begins with the next fault at each new call, and carries on with the present one.
   void ServeCalls() {
     if (is_refusing_ && fixture.Counts().watch_failures > failures_before_refusal_) {
       Reply("up");
@@ -110,48 +110,48 @@
     if (fixture.DiscoveryCallCount(service_) > calls_) {
       calls_ = fixture.DiscoveryCallCount(service_);
       called_at_ms_ = elapsed_ms_;
-      position_ = std::min(position_ + 1, troubles_.size());
+      position_ = std::min(position_ + 1, faults_.size());
       is_served_ = false;
-      if (position_ < troubles_.size()) Begin(troubles_[position_]);
+      if (position_ < faults_.size()) Begin(faults_[position_]);
     }
     const bool has_call = position_ != kNone && !is_served_ && elapsed_ms_ >= called_at_ms_ + late_ms_;
     if (!has_call) return;
     is_served_ = true;
-    if (position_ < troubles_.size()) {
-      EndLate(troubles_[position_]);
+    if (position_ < faults_.size()) {
+      EndLate(faults_[position_]);
     } else {
       Reply("plain " + kHead + kList);
       answered_ = true;
     }
   }
-  void Begin(CallTrouble trouble) {
-    switch (trouble) {
-      case CallTrouble::kRejectedAtOnce:
+  void Begin(CallFault fault) {
+    switch (fault) {
+      case CallFault::kRejectedAtOnce:
         return Reply("plain " + kRejection);
-      case CallTrouble::kResetAtOnce:
+      case CallFault::kResetAtOnce:
         return Reply("reset");
-      case CallTrouble::kRefused:  // The next call, as this one is reset.
+      case CallFault::kRefused:  // The next call, as this one is reset.
         failures_before_refusal_ = fixture.Counts().watch_failures + 1;
         is_refusing_ = true;
         Reply("down");
         return Reply("reset");
-      case CallTrouble::kHalfAnswerThenSilence:
-      case CallTrouble::kHalfAnswerThenReset:
+      case CallFault::kHalfAnswerThenSilence:
+      case CallFault::kHalfAnswerThenReset:
         Reply("plain " + kHead + kList.substr(0, 15));
-        if (trouble == CallTrouble::kHalfAnswerThenReset) Reply("reset");
+        if (fault == CallFault::kHalfAnswerThenReset) Reply("reset");
         return;
-      case CallTrouble::kHeartbeatThenSilence:
+      case CallFault::kHeartbeatThenSilence:
         // Proves nothing before the whole list, which a new address owes.
         return Reply("plain " + kHead + (loss_ == WatchLoss::kReload ? R"(\n)" : ""));
-      case CallTrouble::kRejectedLate:
-      case CallTrouble::kResetLate:
-      case CallTrouble::kUnanswered:
+      case CallFault::kRejectedLate:
+      case CallFault::kResetLate:
+      case CallFault::kUnanswered:
         return;
     }
   }
-  void EndLate(CallTrouble trouble) {
-    if (trouble == CallTrouble::kRejectedLate) Reply("plain " + kRejection);
-    if (trouble == CallTrouble::kResetLate) Reply("reset");
+  void EndLate(CallFault fault) {
+    if (fault == CallFault::kRejectedLate) Reply("plain " + kRejection);
+    if (fault == CallFault::kResetLate) Reply("reset");
   }
 
   static constexpr std::size_t kNone = static_cast<std::size_t>(-1);
@@ -159,8 +159,8 @@
   const WatchLoss loss_;
   const int late_ms_;  // After a call: its late failure, or its answer.
   std::string service_ = "discovery";
-  std::vector<CallTrouble> troubles_;
-  std::size_t position_ = kNone;  // Of the present call in troubles_; behind its end: answered.
+  std::vector<CallFault> faults_;
+  std::size_t position_ = kNone;  // Of the present call in faults_; behind its end: answered.
   std::size_t calls_ = 0;
   std::uint64_t failures_before_refusal_ = 0;
   int elapsed_ms_ = 0, called_at_ms_ = 0, requests_ = 1;
@@ -168,19 +168,19 @@
 };
 
 // Calls that fail at once show that the service is down, so they are left out where that counts.
-std::vector<CallTrouble> RandomTroubles(int seed, WatchLoss loss, bool pushed) {
-  using enum CallTrouble;
-  std::vector<CallTrouble> kinds{kRejectedLate, kResetLate, kHalfAnswerThenSilence, kHalfAnswerThenReset,
-                                 kHeartbeatThenSilence};
+std::vector<CallFault> RandomFaults(int seed, WatchLoss loss, bool pushed) {
+  using enum CallFault;
+  std::vector<CallFault> kinds{kRejectedLate, kResetLate, kHalfAnswerThenSilence, kHalfAnswerThenReset,
+                               kHeartbeatThenSilence};
   if (loss != WatchLoss::kReset || pushed) kinds.insert(kinds.end(), {kRejectedAtOnce, kResetAtOnce});
   if (loss == WatchLoss::kSilence) kinds.push_back(kRefused);
   if (!pushed) kinds.push_back(kUnanswered);  // An agent that does not answer has learned nothing.
   std::mt19937 random(static_cast<unsigned>(seed));
-  std::vector<CallTrouble> troubles;
+  std::vector<CallFault> faults;
   for (int k = 0; k <= seed % 4; ++k) {
-    troubles.push_back(kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random)]);
+    faults.push_back(kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random)]);
   }
-  return troubles;
+  return faults;
 }
 
 // Guards against requests to an endpoint that drains: a call that was rejected, or not answered, used to
@@ -192,7 +192,7 @@
   const int seed = GENERATE(range(1, 5));
   INFO(mode << ", loss " << static_cast<int>(loss) << ", fleet of " << fleet_size << ", seed " << seed);
   OverdueListTrial trial(loss, mode, fleet_size, seed);
-  trial.Lose(RandomTroubles(seed, loss, mode == "automatic"));
+  trial.Lose(RandomFaults(seed, loss, mode == "automatic"));
   trial.PlayUntilAnswered();
 }
 
@@ -200,7 +200,7 @@
 // second one that is answered late.
 TEST_CASE("a rejected call after a silence does not postpone the time from which the list is overdue") {
   OverdueListTrial trial(WatchLoss::kSilence, "subscribe", 2);
-  trial.Lose({CallTrouble::kRejectedLate});
+  trial.Lose({CallFault::kRejectedLate});
   trial.PlayUntilAnswered();
   CHECK(trial.fixture.Counts().attempts_denied_by_overdue_list > 0);
 }
@@ -242,7 +242,7 @@
 // service does with them, too.
 TEST_CASE("after a reset with rejected calls requests are rejected for ten seconds at most") {
   OverdueListTrial trial(WatchLoss::kReset, "subscribe", GENERATE(2, 205));
-  trial.Lose(std::vector(20, CallTrouble::kRejectedLate));
+  trial.Lose(std::vector(20, CallFault::kRejectedLate));
   trial.PlayUntil(kKnownAfterLossMs - 100);
   trial.CheckSent();
   trial.PlayUntil(kKnownAfterLossMs + 100);
--- a/tests/proxy/loopback_fixture.cpp
+++ b/tests/proxy/loopback_fixture.cpp
@@ -12,7 +12,8 @@
 
 constexpr std::string_view kSettings = R"(,"zone":0,"azs":["z"],
  "classes":[{"name":"watch","effect":"idempotent","group":"all","target":500000,"hardLimit":2000000},
- {"name":"sync","effect":"deduplicated","group":"all","repeatWindow":1000000,"target":500000,"hardLimit":2000000}],
+ {"name":"sync","effect":"deduplicated","group":"all","repeatWindow":1000000,"target":500000,
+  "hardLimit":2000000}],
  "familyInfo":{"messageAim":[50000],"groups":true},
  "stats":{"how":"on_probe","fields":["outstanding","errors_per_s","x0"]},
  "limits":{"probes":true,"cancel":true,"sendCap":5,"connectTimeout":250000,"idleClose":10000000,
