--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -96,13 +96,6 @@
         self.port = self.listener.sockets[0].getsockname()[1]
         self.entry["host_port"] = "%s:%d" % (HOST, self.port)
 
-    def crash(self):
-        """The process dies: its connections are reset and new ones are refused."""
-        self.rig.record.add("server", self.name, "dies")
-        self.listener.close()
-        for writer in list(self.writers):
-            reset(writer)
-
     async def answer_up(self, attempt):
         self.up(attempt)
 
@@ -122,6 +115,10 @@
     def load(self):
         return sum(1 for attempt in self.attempts if attempt.ended_at is None)
 
+    def report(self):
+        load = self.load()
+        return " inflight=%d,eps=0,x0=%.2f" % (load, load / 100)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         attempt = None
@@ -139,8 +136,7 @@
                     self.rig.record.add("server", self.name, "gets", line)
                     await self.answer(attempt)
                 elif word in ("STATS", "PING"):
-                    load = self.load()
-                    report = " inflight=%d,eps=0,x0=%.2f" % (load, load / 100) if word == "STATS" else ""
+                    report = self.report() if word == "STATS" else ""
                     writer.write(b"PONG" + report.encode() + b"\r\n")
                 else:
                     writer.write(b"SYNTAX\r\n")
@@ -165,7 +161,7 @@
 
     def __init__(self, rig):
         self.rig, self.revision, self.changes = rig, 1, []
-        self.watches, self.silent = {}, set()
+        self.watches = {}
         self.listener, self.port = None, None
         self.gate = self.open_gate
         self.calls = 0
@@ -205,20 +201,14 @@
         return {"revision": self.revision, "complete": True, "members": members}
 
     def change(self, server, **fields):
-        """Changes an entry and tells all watches that are not silent."""
+        """Changes an entry and tells all watches."""
         server.entry.update(fields)
         self.revision += 1
         self.changes.append((self.revision, server))
-        told = [watch for watch in self.watches if watch not in self.silent]
-        self.rig.record.add("discovery has", server.name, json.dumps(fields), "and tells", len(told), "watches")
-        for watch in told:
+        self.rig.record.add("discovery has", server.name, json.dumps(fields), "and tells", len(self.watches), "watches")
+        for watch in list(self.watches):
             self.chunk(watch, {"revision": self.revision, "complete": False, "members": [server.entry]})
 
-    def fall_silent(self):
-        """All open watches stay open and say nothing more."""
-        self.rig.record.add("open watches fall silent:", len(self.watches))
-        self.silent.update(self.watches)
-
     @staticmethod
     def chunk(writer, value):
         text = json.dumps(value).encode() + b"\n" if value else b"\n"
@@ -252,16 +242,12 @@
             self.watches[writer] = True
             while True:
                 await asyncio.sleep(2)
-                if writer not in self.silent:
-                    self.chunk(writer, None)
-                    await writer.drain()
-                elif writer.transport.is_closing():
-                    return
+                self.chunk(writer, None)
+                await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             self.watches.pop(writer, None)
-            self.silent.discard(writer)
             writer.close()
 
 
@@ -372,7 +358,6 @@
         os.makedirs(os.path.join(self.folder, "tmp"), exist_ok=True)
         self.settings = options.get("settings") or settings()
         self.known = options.get("known")
-        self.operator = options.get("operator")
         self.label = options.get("label", name)
         self.listener = options.get("listener")  # The clients' socket, where the platform holds it.
         if self.listener is not None:
@@ -395,10 +380,6 @@
         environment = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
         environment["PROXY_CONFIG"] = self.write_configuration()
         environment["TMPDIR"] = os.path.join(self.folder, "tmp")
-        if self.operator is not None:
-            environment["STOATRUN_OPERATOR"] = os.path.join(self.folder, "operator.txtpb")
-            with open(environment["STOATRUN_OPERATOR"], "w", encoding="utf-8") as out:
-                out.write(self.operator)
         inherited = ()
         if self.listener is not None:
             environment["PROXY_ACCEPT_FD"] = str(self.listener.fileno())
@@ -446,21 +427,6 @@
             return text.read()
 
 
-def values(text, key):
-    """The values of `key` in the JSON objects of a table that a command printed."""
-    return re.findall(r'"%s":\s*"([^"]*)"' % key, text)
-
-
-async def command(rig, *words):
-    """Runs a command of the program; returns its exit code and what it wrote."""
-    process = await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", run_command() + ' "$@"', "sh", *words, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
-    text = (await process.communicate())[0].decode()
-    rig.record.add("command", " ".join(words), "exits", process.returncode, "\n" + text)
-    return process.returncode, text
-
-
 def held_socket():
     """A listening socket for clients that the platform holds and hands down to each process."""
     held = socket.socket()
