Fix lines lost when a session ends or is migrated with data unread or unwritten

EndEstablished closed both sides without a look at what lay unread in their sockets, queued for a slow side, or sent in part. Timers that run before reads are one way there; more than 8 KiB unread or a slow side were enough without any hold-up.

A session now ends by way of kClosing: Forwarder::ForwardRest reads both sockets until they are empty and forwards the rest, 0.8 s at most; Upstream::Finish lingers until the endpoint has been sent everything; a failed write no longer hides what can still be read; an ending client is kept as long as it takes something.

'a reset is detected while reading is paused' wanted the session gone 0.15 s after the endpoint's reset, which is what lost the lines: it keeps that bound for the detection, and the protocol's one second for the end.

--- a/src/base/tcp_connection.cpp
+++ b/src/base/tcp_connection.cpp
@@ -1,8 +1,10 @@
 #include "base/tcp_connection.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +22,8 @@
 constexpr std::size_t kDiscardSize = std::size_t{128} * 1024;
 // In total more than a socket's receive buffer can hold; only a peer that keeps sending exceeds this.
 constexpr int kMaxDiscards = 64;
+// Reads of one ReadUntilEmpty: 512 KiB, which takes about a millisecond.
+constexpr int kMaxReadsPerCall = 64;
 constexpr std::size_t kMaxGather = 8;  // Maximum pieces per writev; further pieces are queued.
 // A request must not be forwarded later than 0.3 s after its client has disconnected.
 constexpr Micros kPeerResetInterval = std::chrono::milliseconds(100);
@@ -101,8 +105,20 @@
 
 void TcpConnection::ReadNow() {
   if (!IsConnected() || broken_ || peer_finished_) return;
-  if (reading_ && input_size_ < kInputCapacity) return ReadSome();
-  CheckPeerReset();
+  if (CanRead()) {
+    ReadSome();
+  } else {
+    CheckPeerReset();
+  }
+}
+
+bool TcpConnection::ReadUntilEmpty() {
+  for (int count = 0; count < kMaxReadsPerCall; ++count) {
+    if (!IsConnected() || peer_finished_) return true;
+    if (!CanRead()) return false;
+    if (ReadSome() != ReadOutcome::kData) return true;
+  }
+  return false;
 }
 
 void TcpConnection::SetReading(bool enabled) {
@@ -135,6 +151,12 @@
   UpdateWatcher();
 }
 
+std::size_t TcpConnection::UnsentBytes() const {
+  int in_socket = 0;
+  if (!IsConnected() || broken_ || ioctl(fd_, SIOCOUTQNSD, &in_socket) != 0) return QueuedBytes();
+  return QueuedBytes() + static_cast<std::size_t>(in_socket);
+}
+
 void TcpConnection::Finish() {
   finish_requested_ = true;
   if (IsConnected() && QueuedBytes() == 0) Flush();
@@ -178,8 +200,7 @@
 
 int TcpConnection::WantedEvents() const {
   if (connecting_) return EV_WRITE;
-  const bool read = reading_ && !peer_finished_ && input_size_ < kInputCapacity;
-  return (read ? EV_READ : 0) | (QueuedBytes() > 0 ? EV_WRITE : 0);
+  return (CanRead() ? EV_READ : 0) | (QueuedBytes() > 0 ? EV_WRITE : 0);
 }
 
 void TcpConnection::UpdateWatcher() {
@@ -216,7 +237,9 @@
 
 void TcpConnection::HandleIo(int events) {
   if (broken_) {
-    handler_.OnEnd(id_, ConnectionEnd::kReset);
+    // What the peer sent before the failed write can still be read.
+    ReadUntilEmpty();
+    if (IsOpen()) handler_.OnEnd(id_, ConnectionEnd::kReset);
     return;
   }
   if (connecting_) return FinishConnect();
@@ -224,7 +247,7 @@
     FlushQueued();
     if (IsOpen() && !broken_ && QueuedBytes() == 0) handler_.OnWritable(id_);
   }
-  if ((events & EV_READ) != 0 && IsOpen() && !broken_ && reading_ && !peer_finished_) ReadSome();
+  if ((events & EV_READ) != 0 && IsOpen() && !broken_ && CanRead()) ReadSome();
 }
 
 void TcpConnection::FinishConnect() {
@@ -242,24 +265,31 @@
   if (IsOpen() && QueuedBytes() > 0) FlushQueued();
 }
 
-void TcpConnection::ReadSome() {
-  if (input_size_ == kInputCapacity) return UpdateWatcher();
+TcpConnection::ReadOutcome TcpConnection::ReadSome() {
   if (!input_ && !discarding_) input_ = std::make_unique<char[]>(kInputCapacity);
   const ssize_t result =
       discarding_ ? DiscardSome(fd_) : read(fd_, input_.get() + input_size_, kInputCapacity - input_size_);
-  if (result > 0 && discarding_) {
-    handler_.OnInputDiscarded(id_, static_cast<std::size_t>(result));
-  } else if (result > 0) {
-    input_size_ += static_cast<std::size_t>(result);
-    UpdateWatcher();
-    handler_.OnData(id_);
-  } else if (result == 0) {
+  if (result > 0) {
+    const auto size = static_cast<std::size_t>(result);
+    if (discarding_) {
+      handler_.OnInputDiscarded(id_, size);
+    } else {
+      input_size_ += size;
+      UpdateWatcher();
+      handler_.OnData(id_);
+    }
+    return ReadOutcome::kData;
+  }
+  if (result < 0 && (errno == EAGAIN || errno == EINTR)) return ReadOutcome::kEmpty;
+  if (broken_) return ReadOutcome::kEnded;  // The failure has been reported, or will be.
+  if (result == 0) {
     peer_finished_ = true;
     UpdateWatcher();
     handler_.OnEnd(id_, ConnectionEnd::kFinished);
-  } else if (errno != EAGAIN && errno != EINTR) {
+  } else {
     ReportReset();
   }
+  return ReadOutcome::kEnded;
 }
 
 void TcpConnection::FlushQueued() {
--- a/src/base/tcp_connection.h
+++ b/src/base/tcp_connection.h
@@ -12,6 +12,7 @@
 #include <sys/uio.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <memory>
 #include <optional>
@@ -112,12 +113,18 @@
   void DiscardInput();
   // Reads available data and the peer's end of stream now, without waiting for the event loop to report them.
   void ReadNow();
+  // The same repeatedly, until the socket holds no more data. Returns false if some may be left: the handler
+  // holds reading back, or the limit on the work of one call is reached. Reads the rest of the data of a
+  // connection that has failed, too.
+  bool ReadUntilEmpty();
 
   // Writes the pieces in one system call; queues what the socket doesn't accept. OnEnd reports a failure
   // later.
   void Write(std::initializer_list<std::string_view> pieces);
   // The number of queued output bytes that the socket has not accepted yet.
   std::size_t QueuedBytes() const { return output_.size() - output_begin_; }
+  // The number of output bytes that have not been sent to the peer yet, in the queue or in the socket.
+  std::size_t UnsentBytes() const;
   // Shuts down the sending side (FIN) once all queued output has been written; later writes are ignored.
   void Finish();
   // Closes the socket immediately. No callback follows.
@@ -129,7 +136,11 @@
   static void OnIo(struct ev_loop* loop, ev_io* watcher, int events);
   void HandleIo(int events);
   void FinishConnect();
-  void ReadSome();
+  // What became of one read from the socket.
+  enum class ReadOutcome : std::uint8_t { kData, kEmpty, kEnded };
+  ReadOutcome ReadSome();
+  // Whether ReadSome can store more data and the handler wants it.
+  bool CanRead() const { return reading_ && !peer_finished_ && input_size_ < kInputCapacity; }
   void FlushQueued();
   void Flush();
   void ReportReset();
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -16,6 +16,8 @@
 // overtake the answer.
 constexpr Micros kEndTimeout = std::chrono::milliseconds(800);
 constexpr Micros kDiscardTimeout = std::chrono::milliseconds(2400);
+// How often it is checked whether a client that is to be reset has been sent everything.
+constexpr Micros kUnsentCheckInterval = std::chrono::milliseconds(20);
 // The maximum number of bytes read and discarded from a client that has been answered: as much as one core
 // reads within kDiscardTimeout. A client that sends more may lose its answer to a reset.
 constexpr std::size_t kMaxDiscarded = std::size_t{96} * 1024 * 1024;
@@ -76,11 +78,16 @@
 }
 
 // Keeps clients that connect and send nothing from using up the descriptors that sessions, attempts, probes
-// and discovery need. Clients that have been answered are evicted first, then the oldest without a request.
+// and discovery need. Clients that have been answered are evicted first, then connections of ended sessions,
+// then the oldest clients without a request.
 void Downstream::EvictOldest() {
   const std::size_t used = std::min(descriptor_limit_, 2 * SessionCount() + kReservedDescriptors);
   const std::size_t capacity = std::max(kMinAwaitingRequest, descriptor_limit_ - used);
-  while (awaiting_request_.size() + ending_.size() > capacity) {
+  while (awaiting_request_.size() + ending_.size() + events_.LingeringCount() > capacity) {
+    if (ending_.empty() && events_.LingeringCount() > 0) {
+      events_.CloseOldestLingering();
+      continue;
+    }
     const SlotId id = ending_.empty() ? awaiting_request_.front() : ending_.front();
     Client* client = clients_.Find(id);
     if (client->state == State::kAwaitingRequest) {
@@ -146,7 +153,7 @@
   client->request_line_size = 0;
 }
 
-void Downstream::End(SlotId client_id, std::string_view last_line) {
+void Downstream::End(SlotId client_id, std::string_view last_line, EndMode mode) {
   Client* client = clients_.Find(client_id);
   if (client == nullptr || client->state == State::kEnding) return;
   // Closing immediately would answer bytes in transit with a reset, which may overtake the last line.
@@ -154,15 +161,26 @@
   client->state = State::kEnding;
   client->position = ending_.insert(ending_.end(), client->id);
   client->since = loop_.Now();
+  client->end_mode = mode;
   if (!last_line.empty()) client->tcp.Write({last_line});
-  client->tcp.Finish();
-  if (client->tcp.PeerFinished() && client->tcp.QueuedBytes() == 0) {  // Both sides have finished.
-    client->tcp.Close();
-    Erase(*client);
+  if (mode == EndMode::kFinish) client->tcp.Finish();
+  client->unsent_bytes = client->tcp.UnsentBytes();
+  const bool both_finished = client->tcp.PeerFinished() && client->tcp.QueuedBytes() == 0;
+  if (mode == EndMode::kReset ? client->unsent_bytes == 0 : both_finished) {
+    CloseEnding(*client);
     return;
   }
   client->tcp.DiscardInput();
-  client->timer.Set(loop_.Now() + kEndTimeout);
+  client->timer.Set(loop_.Now() + (mode == EndMode::kReset ? kUnsentCheckInterval : kEndTimeout));
+}
+
+void Downstream::CloseEnding(Client& client) {
+  if (client.end_mode == EndMode::kReset) {
+    client.tcp.Reset();
+  } else {
+    client.tcp.Close();
+  }
+  Erase(client);
 }
 
 void Downstream::Reset(SlotId client_id) {
@@ -258,13 +276,20 @@
     RejectMalformed(*client, "request line timed out");
     return;
   }
-  // Gives a client that reads slowly more time for the rest of its answer.
-  if (client->tcp.QueuedBytes() > 0 && loop_.Now() < client->since + kDiscardTimeout) {
-    client->timer.Set(client->since + kDiscardTimeout);
-    return;
-  }
-  client->tcp.Close();
-  Erase(*client);
+  if (KeepEnding(*client)) return;
+  CloseEnding(*client);
+}
+
+// Gives a client that reads slowly more time for what is left of its lines, as long as it takes some of them.
+bool Downstream::KeepEnding(Client& client) {
+  const std::size_t unsent = client.tcp.UnsentBytes();
+  if (unsent == 0) return false;
+  if (unsent < std::exchange(client.unsent_bytes, unsent)) client.since = loop_.Now();
+  const Micros limit = client.since + (client.end_mode == EndMode::kReset ? kEndTimeout : kDiscardTimeout);
+  if (loop_.Now() >= limit) return false;
+  const Micros next = client.end_mode == EndMode::kReset ? kUnsentCheckInterval : kEndTimeout;
+  client.timer.Set(std::min(limit, loop_.Now() + next));
+  return true;
 }
 
 void Downstream::OnData(SlotId id) {
@@ -291,6 +316,7 @@
     client->tcp.SetReading(false);
     return;
   }
+  if (client->end_mode == EndMode::kReset) return;
   client->timer.Set(std::min(client->since + kDiscardTimeout, loop_.Now() + kEndTimeout));
 }
 
@@ -306,7 +332,7 @@
       RejectMalformed(*client, "unterminated");
       return;
     }
-    if (client->state == State::kEnding && client->tcp.QueuedBytes() > 0) return;
+    if (client->state == State::kEnding && client->tcp.UnsentBytes() > 0) return;
   }
   client->tcp.Close();
   Erase(*client);
--- a/src/proxy/downstream.h
+++ b/src/proxy/downstream.h
@@ -25,6 +25,12 @@
 // Why a well-formed request is rejected.
 enum class OpenRequestError : std::uint8_t { kUnknownClass, kDuplicateId };
 
+// How a client's connection ends after the last line.
+enum class EndMode : std::uint8_t {
+  kFinish,  // With a FIN.
+  kReset,   // With a TCP reset, once the client has been sent everything.
+};
+
 // Receives the requests and events of clients. `owner` is the id that OnOpen returned for the client.
 class DownstreamEvents {
  public:
@@ -42,6 +48,10 @@
   virtual void OnClientWritable(SlotId owner) = 0;
   // A valid request was rejected because too few file descriptors are available.
   virtual void OnRejectedForCapacity(const OpenRequest& /*request*/) {}
+  // The number of descriptors of ended sessions that still deliver to an endpoint.
+  virtual std::size_t LingeringCount() const { return 0; }
+  // Closes the oldest of them, as its descriptor is needed.
+  virtual void CloseOldestLingering() {}
 };
 
 // Owns the listener and all client connections.
@@ -69,8 +79,9 @@
   // Answers the request line with `line` and removes the request from the client's input: all that follows it
   // belongs to the session.
   void Establish(SlotId client, std::string_view line);
-  // Sends `last_line`, which may be empty, and closes the connection without a reset.
-  void End(SlotId client, std::string_view last_line);
+  // Sends `last_line`, which may be empty, and closes the connection when the client has been sent
+  // everything.
+  void End(SlotId client, std::string_view last_line, EndMode mode = EndMode::kFinish);
   // Closes the connection with a TCP reset.
   void Reset(SlotId client);
 
@@ -105,6 +116,8 @@
     Micros since{0};                         // When it was accepted, or entered kEnding.
     std::size_t request_line_size = 0;       // Of an unanswered request, still in the input; 0: none.
     std::size_t discarded_bytes = 0;
+    EndMode end_mode = EndMode::kFinish;  // Valid in kEnding.
+    std::size_t unsent_bytes = 0;         // In kEnding: at the last look.
   };
 
   void OnAccepted(UniqueFd socket) override;
@@ -122,6 +135,10 @@
   void EvictOldest();
   void RejectEvicted(Client& client);
   void Erase(Client& client);
+  // Whether an ending client is to be kept open for longer; sets its timer if so.
+  bool KeepEnding(Client& client);
+  // Closes or resets an ending client's connection.
+  void CloseEnding(Client& client);
 
   EventLoop& loop_;
   DownstreamEvents& events_;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -63,8 +63,15 @@
     client->SetReading(false);
     return;
   }
-  const std::string_view input = client->input();
+  if (session.to_endpoint == LineBoundary::kReached) return;
+  std::string_view input = client->input();
+  if (session.to_endpoint == LineBoundary::kAwaited)
+    input = input.substr(0, LineLength(input).value_or(input.size()));
   attempt->Write({input});
+  session.client_is_within_line = input.back() != '\n';
+  if (session.to_endpoint == LineBoundary::kAwaited && !session.client_is_within_line) {
+    session.to_endpoint = LineBoundary::kReached;
+  }
   if (session.unanswered_since.count() == 0 && input.find('\n') != std::string_view::npos) {
     session.unanswered_since = loop_.Now();
     if (session.IsEstablished()) session.timer.Set(loop_.Now() + kAnswerTimeout);
@@ -86,6 +93,7 @@
   const std::string_view forwarded = input.substr(0, ForwardableSize(input, extent));
   if (forwarded.empty()) return;
   client->Write({forwarded});
+  if (session->to_client == LineBoundary::kAwaited) session->to_client = LineBoundary::kReached;
   // The lines are copied and handled after the buffers have been updated, because the balancer may migrate
   // this client while it handles them.
   const std::vector<std::string> lines = SplitLines(forwarded);
@@ -98,6 +106,56 @@
   }
 }
 
+bool Forwarder::ForwardRest(SlotId session_id) {
+  const bool endpoint_has_rest = ForwardRestToEndpoint(session_id);
+  const bool client_has_rest = ForwardRestToClient(session_id);
+  return endpoint_has_rest && client_has_rest;
+}
+
+bool Forwarder::ForwardRestToEndpoint(SlotId session_id) {
+  Session* session = sessions_.Find(session_id);
+  if (session == nullptr) return true;
+  TcpConnection* client = downstream_.Find(session->client);
+  const TcpConnection* attempt = upstream_.Find(session->attempt);
+  if (client == nullptr || attempt == nullptr || attempt->IsBroken()) return true;
+  ForwardToEndpoint(*session);
+  const bool is_empty = client->ReadUntilEmpty();
+  session = sessions_.Find(session_id);
+  if (session == nullptr || session->to_endpoint == LineBoundary::kReached) return true;
+  if (!is_empty || !client->input().empty()) return false;
+  const bool may_send_more = !client->PeerFinished() && !client->IsBroken();
+  if (!session->client_is_within_line || !session->AwaitsLineEnds() || !may_send_more) return true;
+  session->to_endpoint = LineBoundary::kAwaited;
+  return false;
+}
+
+bool Forwarder::ForwardRestToClient(SlotId session_id) {
+  Session* session = sessions_.Find(session_id);
+  if (session == nullptr) return true;
+  const TcpConnection* client = downstream_.Find(session->client);
+  TcpConnection* attempt = upstream_.Find(session->attempt);
+  if (client == nullptr || attempt == nullptr) return true;
+  ForwardToClient(session_id, Extent::kCompleteLines);
+  const bool is_empty = attempt->ReadUntilEmpty();
+  session = sessions_.Find(session_id);
+  if (session == nullptr || session->to_client == LineBoundary::kReached) return true;
+  if (!is_empty) return false;
+  const bool endpoint_has_ended = attempt->PeerFinished() || attempt->IsBroken();
+  if (!session->AwaitsLineEnds()) {
+    if (endpoint_has_ended) ForwardToClient(session_id, Extent::kEverything);
+    return true;
+  }
+  const bool is_held_back = client->QueuedBytes() > TcpConnection::kHighWatermark;
+  if (attempt->input().empty()) return true;
+  if (is_held_back) return false;
+  if (endpoint_has_ended) {
+    ForwardToClient(session_id, Extent::kCompleteLines);
+    return true;
+  }
+  session->to_client = LineBoundary::kAwaited;
+  return false;
+}
+
 void Forwarder::OnEndpointLine(Session& session, std::string_view line) {
   const auto [word, rest] = SplitFirstWord(line);
   if (word == "LOAD") {
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -36,12 +36,18 @@
   // Forwards the endpoint's input to the client, and reports loads and latencies to the balancer, which may
   // erase any session. No effect if the session has been erased.
   void ForwardToClient(SlotId session_id, Extent extent);
+  // For a closing session: reads all that its sides have sent and forwards it. Returns false if something is
+  // left: a side does not take it, or has sent only a part of a line that the session waits for. May erase
+  // any session.
+  bool ForwardRest(SlotId session_id);
   // Resumes reading from the endpoint, as all output to the client has been written.
   void OnClientWritable(SlotId session_id);
   // Resumes reading from the client, as all output to the endpoint has been written.
   void OnEndpointWritable(SlotId session_id);
 
  private:
+  bool ForwardRestToEndpoint(SlotId session_id);
+  bool ForwardRestToClient(SlotId session_id);
   void OnEndpointLine(Session& session, std::string_view line);
 
   EventLoop& loop_;
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -64,10 +64,11 @@
   if (phase_ == Phase::kMigrating) MigrateStep(EndTime() - kMigrationEndMargin - loop_.Now());
   if (is_ending) {  // Requests that are not answered now would get no answer before the process exits.
     for (const SlotId session : pending) controller_.Fail(session);
+    controller_.FinishClosingSessions();
   }
   downstream_.EndIdle(!is_ending && sessions_.Size() > 0);
-  const bool all_clients_ended =
-      phase_ == Phase::kMigrating && sessions_.Size() == 0 && !downstream_.HasPendingClients();
+  const bool all_clients_ended = phase_ == Phase::kMigrating && sessions_.Size() == 0 &&
+                                 !downstream_.HasPendingClients() && !controller_.HasUnsentOutput();
   if (all_clients_ended || loop_.Now() >= EndTime()) {
     LogLine(Level::kInfo, "drained,").Field("left", sessions_.Size());
     loop_.Stop();
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -13,6 +13,7 @@
 #include "base/slot_map.h"
 #include "base/usage_meter.h"
 #include "proxy/balancer_mapping.h"
+#include "proxy/downstream.h"
 #include "proxy/endpoint_table.h"
 #include "proxy/upstream.h"
 
@@ -26,22 +27,38 @@
   virtual void OnSessionTimeout(SlotId session) = 0;
 };
 
+// How an established session ends.
+struct SessionEnd {
+  AttemptEnd end = AttemptEnd::kAbandoned;  // As reported to the balancer.
+  std::string_view last_line;               // Sent to the client at the end: a literal; empty: none.
+  EndMode client_end = EndMode::kFinish;    // How the client's connection ends.
+};
+
+// A closing session forwards no line in part: if one side has sent only a part, the rest of it is awaited.
+enum class LineBoundary : std::uint8_t { kNotAwaited, kAwaited, kReached };
+
 // The states of a session and all transitions between them:
 //
 //   kPending ------> kEstablished ------> kHalfClosed
 //       |  Establish      |    HalfClose       |
-//       +-----------------+--------------------+----> erased (SessionTable::Erase)
+//       |                 +---------+----------+
+//       |                           | BeginClosing
+//       |                           v
+//       |                        kClosing
+//       +---------------------------+----> erased (SessionTable::Erase)
 //
 // kPending: the client waits for the answer to its request; attempts are made one at a time.
 // kEstablished: an endpoint has accepted the request, and bytes are forwarded in both directions.
 // kHalfClosed: the client has finished sending (FIN); the endpoint's remaining bytes are still forwarded.
+// kClosing: the session is about to end; what either side had sent before is still forwarded.
 //
 // The timer depends on the state. kPending: start of the next resumption attempt. kEstablished: deadline for
-// the endpoint's answer to the client's line. kHalfClosed: deadline for the endpoint to close.
+// the endpoint's answer to the client's line. kHalfClosed: deadline for the endpoint to close. kClosing:
+// deadline for the end of forwarding.
 class Session {
  public:
   // The states in the diagram above.
-  enum class State : std::uint8_t { kPending, kEstablished, kHalfClosed };
+  enum class State : std::uint8_t { kPending, kEstablished, kHalfClosed, kClosing };
 
   // Called by SessionTable only. `handler` must outlive the session.
   Session(SlotId slot, TimerQueue& timers, SessionTimeoutHandler& handler, std::string_view client_id)
@@ -58,6 +75,10 @@
   // Whether the client asked to resume a connection at the endpoint that already has it.
   bool IsResumed() const { return !resume_endpoint.empty(); }
 
+  // Whether the session waits for the rest of incomplete lines before it ends: only if neither side has
+  // ended.
+  bool AwaitsLineEnds() const { return !closing.last_line.empty(); }
+
   // kPending -> kEstablished: the endpoint accepted the request at `now`.
   void Establish(Micros now) {
     assert(state_ == State::kPending);
@@ -74,6 +95,14 @@
     timer.Set(deadline);
   }
 
+  // kEstablished or kHalfClosed -> kClosing: the session ends as `end` says, by `deadline` at the latest.
+  void BeginClosing(const SessionEnd& end, Micros deadline) {
+    assert(state_ == State::kEstablished || state_ == State::kHalfClosed);
+    state_ = State::kClosing;
+    closing = end;
+    timer.Set(deadline);
+  }
+
   const SlotId id;
   const std::string connection_id;  // The connection id of the client's request.
   SlotId client;                    // The client's connection in Downstream.
@@ -94,6 +123,13 @@
   Micros unanswered_since{0};  // When the oldest unanswered line of the client was forwarded; 0: none.
   Micros answered_at{0};       // When the last answer reached the client, or the session was established.
   AttemptEnd announced_end = AttemptEnd::kBroken;  // The end that the endpoint's last line announced.
+  bool client_is_within_line = false;  // The endpoint has been sent only a part of the client's last line.
+
+  // Used in kClosing.
+  SessionEnd closing;
+  bool is_forwarding_rest = false;  // Forwarder::ForwardRest is running for this session.
+  // Whether the rest of an incomplete line is awaited, by direction.
+  LineBoundary to_endpoint = LineBoundary::kNotAwaited, to_client = LineBoundary::kNotAwaited;
 
   UsageHandle usage;
   FleetClient::ConnectionHandle fleet_connection;
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -20,6 +20,9 @@
 constexpr Micros kTransitAllowance = milliseconds(4);
 // After one side has closed, the other must close within 1 s.
 constexpr Micros kHalfClosedTimeout = milliseconds(800);
+// How long an ending session still forwards what its sides sent before, if one of them does not take it or
+// sends a line in pieces. An endpoint's end must be passed on within 1 s.
+constexpr Micros kClosingTimeout = milliseconds(800);
 // It is not known when quota becomes available, but it is likely to be soon, as other connections end.
 constexpr Micros kQuotaRetryAfter = std::chrono::seconds(1);
 
@@ -100,14 +103,19 @@
   Session* session = deps_.sessions.Find(session_id);
   // Bytes that a client sends before its request is answered stay in its bounded input buffer.
   if (session != nullptr && !session->IsPending()) deps_.forwarder.ForwardToEndpoint(*session);
+  ContinueClosing(session_id);
 }
 
-void SessionController::OnClientWritable(SlotId session_id) { deps_.forwarder.OnClientWritable(session_id); }
+void SessionController::OnClientWritable(SlotId session_id) {
+  deps_.forwarder.OnClientWritable(session_id);
+  ContinueClosing(session_id);
+}
 
 void SessionController::OnClientEnd(SlotId session_id, ConnectionEnd end) {
   Session* session = deps_.sessions.Find(session_id);
-  if (session == nullptr || session->CurrentState() == Session::State::kHalfClosed) return;
-  ++deps_.counters.client_disconnects;
+  if (session == nullptr) return;
+  const bool is_first_end = session->IsPending() || session->IsEstablished();
+  if (is_first_end) ++deps_.counters.client_disconnects;
   if (session->IsPending()) {
     EndPending(*session, end);
     return;
@@ -117,6 +125,10 @@
     ResetEstablished(*session);
     return;
   }
+  if (!is_first_end) {
+    ContinueClosing(session_id);
+    return;
+  }
   if (TcpConnection* attempt = deps_.upstream.Find(session->attempt)) attempt->Finish();
   deps_.sessions.EndUsage(*session);  // Usage ends with the client's FIN.
   session->HalfClose(Now() + kHalfClosedTimeout);
@@ -149,10 +161,8 @@
   const SlotId session_id = session.id;
   deps_.upstream.Reset(session.attempt);
   deps_.downstream.Reset(session.client);
-  deps_.balancer.HandleEvent(ToClientDisconnected(session_id));
-  if (Session* remaining = deps_.sessions.Find(session_id)) {
-    EndEstablished(*remaining, AttemptEnd::kAbandoned, {});
-  }
+  if (session.IsEstablished()) deps_.balancer.HandleEvent(ToClientDisconnected(session_id));
+  if (Session* remaining = deps_.sessions.Find(session_id)) FinishSession(*remaining, {});
 }
 
 // ---- the balancer's actions ----
@@ -241,7 +251,16 @@
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr || !session->IsEstablished()) return;
   ++deps_.counters.migrated;
-  EndEstablished(*session, AttemptEnd::kAbandoned, kMoveLine);
+  EndEstablished(*session, {AttemptEnd::kAbandoned, kMoveLine});
+}
+
+void SessionController::FinishClosingSessions() {
+  for (const SlotId session_id : deps_.sessions.EndingIds()) {
+    Session* session = deps_.sessions.Find(session_id);
+    if (session == nullptr) continue;
+    const bool is_closing = session->CurrentState() == Session::State::kClosing;
+    FinishSession(*session, is_closing ? session->closing : SessionEnd{AttemptEnd::kAbandoned, kMoveLine});
+  }
 }
 
 void SessionController::MigrateIdle(std::size_t count) {
@@ -331,28 +350,42 @@
 
 void SessionController::OnAttemptBytes(SlotId session_id) {
   deps_.forwarder.ForwardToClient(session_id, Forwarder::Extent::kCompleteLines);
+  ContinueClosing(session_id);
 }
 
 void SessionController::OnAttemptWritable(SlotId session_id) {
   deps_.forwarder.OnEndpointWritable(session_id);
+  ContinueClosing(session_id);
 }
 
 void SessionController::OnAttemptFinished(SlotId session_id, ConnectionEnd end) {
-  deps_.forwarder.ForwardToClient(session_id, Forwarder::Extent::kEverything);
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
+  // MOVE can't follow a part of a line.
+  const bool will_move = session->CurrentState() == Session::State::kClosing && session->AwaitsLineEnds();
+  deps_.forwarder.ForwardToClient(
+      session_id, will_move ? Forwarder::Extent::kCompleteLines : Forwarder::Extent::kEverything);
+  session = deps_.sessions.Find(session_id);
+  if (session == nullptr) return;
   AttemptEnd attempt_end = session->announced_end;
   if (attempt_end == AttemptEnd::kServed) ++deps_.counters.served;
   if (attempt_end == AttemptEnd::kMigrated) ++deps_.counters.migrated_by_endpoint;
+  if (session->CurrentState() == Session::State::kClosing) {
+    // The endpoint has told the client of its end before the proxy could.
+    if (attempt_end != AttemptEnd::kBroken) session->closing = {attempt_end, {}, EndMode::kFinish};
+    ContinueClosing(session_id);
+    return;
+  }
   const bool client_left = session->CurrentState() == Session::State::kHalfClosed;
   if (attempt_end == AttemptEnd::kBroken && client_left) attempt_end = AttemptEnd::kAbandoned;
+  EndMode client_end = EndMode::kFinish;
   if (attempt_end == AttemptEnd::kBroken) {
     ++deps_.counters.attempts_connection_lost;
     LogLine(Level::kDebug, "connection lost")
         .Field("endpoint", deps_.upstream.Endpoints().IdOf(session->endpoint));
-    if (end == ConnectionEnd::kReset) deps_.downstream.Reset(session->client);
+    if (end == ConnectionEnd::kReset) client_end = EndMode::kReset;
   }
-  EndEstablished(*session, attempt_end, {});
+  EndEstablished(*session, {attempt_end, {}, client_end});
 }
 
 void SessionController::OnProbeCompleted(EndpointIndex endpoint, bool succeeded, std::string_view report) {
@@ -365,13 +398,33 @@
 
 // ---- end of established sessions ----
 
-void SessionController::EndEstablished(Session& session, AttemptEnd end, std::string_view last_line) {
+void SessionController::EndEstablished(Session& session, const SessionEnd& end) {
+  const SlotId session_id = session.id;
+  session.BeginClosing(end, Now() + kClosingTimeout);
+  ContinueClosing(session_id);
+}
+
+void SessionController::ContinueClosing(SlotId session_id) {
+  Session* session = deps_.sessions.Find(session_id);
+  if (session == nullptr || session->CurrentState() != Session::State::kClosing) return;
+  // Reading reports what has been read by the events that call this method.
+  if (std::exchange(session->is_forwarding_rest, true)) return;
+  const bool forwarded = deps_.forwarder.ForwardRest(session_id);
+  session = deps_.sessions.Find(session_id);
+  if (session == nullptr) return;
+  session->is_forwarding_rest = false;
+  if (forwarded) FinishSession(*session, session->closing);
+}
+
+void SessionController::FinishSession(Session& session, const SessionEnd& end) {
   const SlotId session_id = session.id;
   const EndpointIndex endpoint = session.endpoint;
-  deps_.downstream.End(session.client, last_line);
-  deps_.upstream.Close(session.attempt);
+  const SessionEnd final_end = end;  // `end` may be part of the session.
+  deps_.downstream.End(session.client, final_end.last_line, final_end.client_end);
+  deps_.upstream.Finish(session.attempt);
   deps_.sessions.Erase(session);
-  deps_.balancer.HandleEvent(ToAttemptEnded(session_id, endpoint, end, RequestState::kFinished, {}));
+  deps_.balancer.HandleEvent(
+      ToAttemptEnded(session_id, endpoint, final_end.end, RequestState::kFinished, {}));
 }
 
 void SessionController::OnSessionTimeout(SlotId session_id) {
@@ -384,14 +437,17 @@
       }
       return;
     case Session::State::kHalfClosed:
-      EndEstablished(*session, AttemptEnd::kAbandoned, {});
+      EndEstablished(*session, {});
+      return;
+    case Session::State::kClosing:
+      FinishSession(*session, session->closing);
       return;
     case Session::State::kEstablished:
       // The connections of a machine that has crashed or lost its network stay open without any event.
       ++deps_.counters.silent_endpoints;
       LogLine(Level::kInfo, "endpoint silent, client migrated")
           .Field("endpoint", deps_.upstream.Endpoints().IdOf(session->endpoint));
-      EndEstablished(*session, AttemptEnd::kBroken, kMoveLine);
+      EndEstablished(*session, {AttemptEnd::kBroken, kMoveLine});
       return;
   }
 }
--- a/src/proxy/session_controller.h
+++ b/src/proxy/session_controller.h
@@ -53,6 +53,11 @@
   // Migrates `count` of the established sessions, most recently answered first: their clients are furthest
   // from sending the next line.
   void MigrateIdle(std::size_t count);
+  // For the end of a graceful shutdown: ends all sessions that are still closing at once, and migrates those
+  // that are half-closed.
+  void FinishClosingSessions();
+  // Whether a connection of an ended session still holds data for its endpoint.
+  bool HasUnsentOutput() { return deps_.upstream.HasUnsentOutput(); }
 
   // ActionHandler
   void OpenAttempt(SlotId session_id, EndpointIndex endpoint, const AttemptLimits& limits) override;
@@ -71,6 +76,8 @@
   void OnClientEnd(SlotId session_id, ConnectionEnd end) override;
   void OnClientWritable(SlotId session_id) override;
   void OnRejectedForCapacity(const OpenRequest& request) override;
+  std::size_t LingeringCount() const override { return deps_.upstream.LingeringCount(); }
+  void CloseOldestLingering() override { deps_.upstream.CloseOldestLingering(); }
   // UpstreamEvents
   void OnBeforeRequestWrite(SlotId session_id) override;
   void OnAttemptSent(SlotId session_id) override;
@@ -90,8 +97,13 @@
   void EndPending(Session& session, ConnectionEnd end);
   // Ends an established session whose client connection was reset.
   void ResetEstablished(Session& session);
-  // Ends a session past kPending: closes both connections, erases it and reports the end to the balancer.
-  void EndEstablished(Session& session, AttemptEnd end, std::string_view last_line);
+  // Ends a session past kPending. What either side sent before is forwarded first: at once, unless the other
+  // side does not take it. It is then kClosing meanwhile, for a limited time.
+  void EndEstablished(Session& session, const SessionEnd& end);
+  // Forwards what a closing session's sides have sent, and ends the session if nothing is left.
+  void ContinueClosing(SlotId session_id);
+  // Closes both connections, erases the session and reports the end to the balancer.
+  void FinishSession(Session& session, const SessionEnd& end);
   // The index of the class called `name`; the number of classes if there is none.
   std::size_t ClassIndex(std::string_view name) const;
   // The counters of a class; null if the index is not valid.
--- a/src/proxy/session_table.cpp
+++ b/src/proxy/session_table.cpp
@@ -47,6 +47,14 @@
   return pending;
 }
 
+std::vector<SlotId> SessionTable::EndingIds() {
+  std::vector<SlotId> ending;
+  sessions_.ForEach([&](const Session& session) {
+    if (!session.IsPending() && !session.IsEstablished()) ending.push_back(session.id);
+  });
+  return ending;
+}
+
 std::vector<SlotId> SessionTable::EstablishedUnderQuota(std::uint32_t quota, std::size_t count) {
   std::vector<SlotId> found;
   sessions_.ForEach([&](const Session& session) {
--- a/src/proxy/session_table.h
+++ b/src/proxy/session_table.h
@@ -49,6 +49,8 @@
   std::size_t EstablishedCount();
   // The ids of the sessions in kPending.
   std::vector<SlotId> PendingIds();
+  // The ids of the sessions in kHalfClosed and kClosing.
+  std::vector<SlotId> EndingIds();
   // The ids of at most `count` established sessions that hold a reservation of `quota`.
   std::vector<SlotId> EstablishedUnderQuota(std::uint32_t quota, std::size_t count);
   // All established sessions, as candidates for migration.
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -22,6 +22,9 @@
 // and the few other descriptors of the process must fit into those that Downstream reserves for non-client
 // use.
 constexpr std::size_t kMaxIdleProbeConnections = 32;
+// How long a connection lingers for the endpoint's close once all has been sent, and until then.
+constexpr Micros kLingerTimeout = std::chrono::milliseconds(800);
+constexpr Micros kUnsentTimeout = std::chrono::milliseconds(2400);
 constexpr Micros kNextTurnDelay = Micros(1);  // The timer fires in the next turn of the event loop.
 constexpr std::string_view kProbeLine = "STATS\r\n";
 
@@ -106,9 +109,46 @@
   if (connection == nullptr) return;
   connection->tcp.Close();
   connection->timer.Cancel();
+  if (connection->state == State::kLingering) lingering_.erase(connection->position);
   connections_.Erase(attempt);
 }
 
+void Upstream::Finish(SlotId attempt) {
+  Connection* connection = connections_.Find(attempt);
+  if (connection == nullptr) return;
+  TcpConnection& tcp = connection->tcp;
+  tcp.Finish();
+  const bool both_finished = tcp.PeerFinished() && tcp.QueuedBytes() == 0;
+  if (both_finished || tcp.IsBroken() || !tcp.IsConnected()) {
+    Close(attempt);
+    return;
+  }
+  connection->state = State::kLingering;
+  connection->owner = {};
+  connection->finished_at = loop_.Now();
+  connection->position = lingering_.insert(lingering_.end(), attempt);
+  connection->timer.Set(loop_.Now() + kLingerTimeout);
+  tcp.DiscardInput();
+}
+
+void Upstream::OnLingerTimeout(Connection& connection) {
+  const Micros limit = connection.finished_at + kUnsentTimeout;
+  if (connection.tcp.UnsentBytes() > 0 && loop_.Now() < limit) {
+    connection.timer.Set(std::min(limit, loop_.Now() + kLingerTimeout));
+  } else {
+    Close(connection.id);
+  }
+}
+
+void Upstream::CloseOldestLingering() {
+  if (!lingering_.empty()) Close(lingering_.front());
+}
+
+bool Upstream::HasUnsentOutput() {
+  return std::any_of(lingering_.begin(), lingering_.end(),
+                     [this](SlotId id) { return connections_.Find(id)->tcp.UnsentBytes() > 0; });
+}
+
 void Upstream::Reset(SlotId attempt) {
   Connection* connection = connections_.Find(attempt);
   if (connection == nullptr) return;
@@ -118,7 +158,7 @@
 
 TcpConnection* Upstream::Find(SlotId attempt) {
   Connection* connection = connections_.Find(attempt);
-  return connection == nullptr ? nullptr : &connection->tcp;
+  return connection == nullptr || connection->state == State::kLingering ? nullptr : &connection->tcp;
 }
 
 std::optional<AttemptEnd> Upstream::WriteObstacle(const Connection& attempt, Micros now) const {
@@ -293,6 +333,8 @@
   if (connection == nullptr) return;
   if (connection->IsProbe()) {
     FailProbe(*connection, {});
+  } else if (connection->state == State::kLingering) {
+    OnLingerTimeout(*connection);
   } else if (connection->state == State::kPending) {
     // A request that was not written completely has not run, whatever the reason of the time-out.
     const AttemptEnd unsent_end = WriteObstacle(*connection, loop_.Now()).value_or(AttemptEnd::kNotConnected);
@@ -341,6 +383,11 @@
 void Upstream::OnEnd(SlotId id, ConnectionEnd end) {
   Connection* connection = connections_.Find(id);
   if (connection == nullptr) return;
+  if (connection->state == State::kLingering) {
+    // An endpoint that has only finished sending may still read.
+    if (end == ConnectionEnd::kReset || connection->tcp.UnsentBytes() == 0) Close(id);
+    return;
+  }
   if (!connection->IsProbe()) {
     if (connection->state == State::kEstablished) {
       events_.OnAttemptFinished(connection->owner, end);
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -97,7 +98,17 @@
   void Close(SlotId attempt);
   // The same as Close, with a TCP reset.
   void Reset(SlotId attempt);
-  // The attempt's connection; null if it has ended.
+  // The same as Close, but the endpoint is sent all that was written to it, and the end (FIN) after it. What
+  // it still sends is discarded. The connection lingers until the endpoint has closed too, or for a limited
+  // time.
+  void Finish(SlotId attempt);
+  // The number of connections that linger after Finish.
+  std::size_t LingeringCount() const { return lingering_.size(); }
+  // Closes the one that has lingered longest.
+  void CloseOldestLingering();
+  // Whether an endpoint has not been sent everything on a lingering connection.
+  bool HasUnsentOutput();
+  // The attempt's connection; null if it has ended or lingers.
   TcpConnection* Find(SlotId attempt);
 
   // Requests the endpoint's load report.
@@ -111,9 +122,9 @@
 
  private:
   enum class Kind : std::uint8_t { kAttempt, kProbe };
-  // Attempts: kPending -> kEstablished when the endpoint accepts the request. Probes: kPending <-> kIdle,
-  // which is the state between two probes. The connection may end in any state.
-  enum class State : std::uint8_t { kPending, kEstablished, kIdle };
+  // Attempts: kPending -> kEstablished when the endpoint accepts the request, -> kLingering by Finish.
+  // Probes: kPending <-> kIdle, which is the state between two probes. The connection may end in any state.
+  enum class State : std::uint8_t { kPending, kEstablished, kLingering, kIdle };
   struct Connection {
     Connection(SlotId slot, Upstream& upstream, EndpointIndex endpoint_index, Kind connection_kind)
         : id(slot),
@@ -131,8 +142,10 @@
     Timer timer;
     AttemptRequest request;
     Micros deadline{0};
-    bool sent = false;    // The whole request line, or the probe's line, was written to the socket.
-    bool reused = false;  // An idle probe connection that is used again.
+    bool sent = false;      // The whole request line, or the probe's line, was written to the socket.
+    bool reused = false;    // An idle probe connection that is used again.
+    Micros finished_at{0};  // When it began to linger.
+    std::list<SlotId>::iterator position{};  // In lingering_, if it lingers.
   };
   // Runs StopSending for a draining endpoint in the next turn, when the balancer knows of the drain too.
   struct DrainTimer {
@@ -159,6 +172,7 @@
   void SendRequest(SlotId id);
   void OnSent(Connection& connection);
   void OnTimeout(SlotId id);
+  void OnLingerTimeout(Connection& connection);
   void EndAttempt(Connection& attempt, AttemptEnd end, std::string_view line);
   void CountAttemptEnd(AttemptEnd end);
   void FailProbe(Connection& probe, std::string_view report);
@@ -181,6 +195,7 @@
   std::vector<EndpointConnections> per_endpoint_;  // By EndpointIndex.
   SlotMap<Connection> connections_;
   SlotMap<DrainTimer> drain_timers_;
+  std::list<SlotId> lingering_;  // Oldest first.
 };
 
 }  // namespace stoatrun
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -80,6 +80,9 @@
   SECTION("the endpoint's") {
     Play("s-1 flood 12000\ns-1 reset\nwait 150");
     CHECK(Counts().attempts_connection_lost == 1);
+    // The client, which reads nothing, is left time for the lines before the reset; it must be told of the
+    // endpoint's end within a second.
+    Play("wait 800");
   }
   CHECK(ProxyUnderTest().SessionCount() == 0);
 }
--- a/tests/proxy/loopback_commands.cpp
+++ b/tests/proxy/loopback_commands.cpp
@@ -219,6 +219,8 @@
       {"flood", &LoopbackFixture::Flood},
       {"expect-flood", &LoopbackFixture::ExpectFlood},
       {"expect-moved", &LoopbackFixture::ExpectMigrated},
+      {"expect-all-moved", &LoopbackFixture::ExpectFloodAndMigrated},
+      {"read", &LoopbackFixture::ReadBytes},
       {"half", &LoopbackFixture::HalfClose},
       {"close", &LoopbackFixture::Close},
       {"reset", &LoopbackFixture::Close},
@@ -325,6 +327,27 @@
   CHECK((size > TcpConnection::kHighWatermark && flood_[size - 1] == '\n'));
 }
 
+// The client reads all the time. A line that the flood could send only in part does not count.
+void LoopbackFixture::ExpectFloodAndMigrated(LoopbackPeer& peer, const Step& /*step*/) {
+  constexpr std::chrono::milliseconds kReadInterval(1);
+  REQUIRE(Until([&] {
+    peer.Read();
+    loop_.clock.Advance(kReadInterval);
+    return peer.ended;
+  }));
+  const std::string expected = flood_.substr(0, flood_.rfind('\n') + 1) + "MOVE\r\n";
+  CHECK(peer.input.size() == expected.size());
+  CHECK((peer.input == expected));
+}
+
+void LoopbackFixture::ReadBytes(LoopbackPeer& peer, const Step& step) {
+  const std::size_t size = peer.input.size() + std::stoul(step.argument);
+  REQUIRE(Until([&] {
+    peer.ReadAtMost(size - peer.input.size());
+    return peer.input.size() == size || peer.ended;
+  }));
+}
+
 void LoopbackFixture::HalfClose(LoopbackPeer& peer, const Step& /*step*/) { peer.HalfClose(); }
 
 void LoopbackFixture::Close(LoopbackPeer& peer, const Step& step) {
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -11,6 +11,8 @@
 //   a send-bytes N        sends N bytes without a line end, then finishes sending
 //   a flood N             sends N numbered lines; `s-1 expect-flood` expects all of them
 //   a expect-moved        receives the first of these lines, all complete, then MOVE and the end
+//   a expect-all-moved    receives all of these lines, then MOVE and the end
+//   a read N              reads until N more bytes have been received
 //   connect-idle N | expect-idle N      N clients connect and send nothing; N of them are still connected
 //   exhaust a [STEP]      client a connects while no file descriptor is left; then plays STEP in that state
 //   s-1 ...               the steps above, for the first attempt at endpoint s-1 (s-1#2: the second)
@@ -136,6 +138,8 @@
   void Flood(LoopbackPeer& peer, const Step& step);
   void ExpectFlood(LoopbackPeer& peer, const Step& step);
   void ExpectMigrated(LoopbackPeer& peer, const Step& step);
+  void ExpectFloodAndMigrated(LoopbackPeer& peer, const Step& step);
+  void ReadBytes(LoopbackPeer& peer, const Step& step);
   void HalfClose(LoopbackPeer& peer, const Step& step);
   void Close(LoopbackPeer& peer, const Step& step);
 
--- a/tests/proxy/loopback_peer.cpp
+++ b/tests/proxy/loopback_peer.cpp
@@ -2,11 +2,14 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <cerrno>
+#include <limits>
 #include <utility>
 
 namespace stoatrun {
@@ -27,16 +30,22 @@
 }
 
 UniqueFd NonBlocking(UniqueFd fd) {
+  // Small writes must not wait for the acknowledgement of earlier ones, which takes real time.
+  const int enabled = 1;
+  setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
   fcntl(fd.Get(), F_SETFL, fcntl(fd.Get(), F_GETFL) | O_NONBLOCK);
   return fd;
 }
 
-void LoopbackPeer::Read() {
+void LoopbackPeer::Read() { ReadAtMost(std::numeric_limits<std::size_t>::max()); }
+
+void LoopbackPeer::ReadAtMost(std::size_t size) {
   std::array<char, 8192> buffer{};
-  while (socket && !ended) {
-    const ssize_t n = recv(socket.Get(), buffer.data(), buffer.size(), 0);
+  while (socket && !ended && size > 0) {
+    const ssize_t n = recv(socket.Get(), buffer.data(), std::min(size, buffer.size()), 0);
     if (n > 0) {
       input.append(buffer.data(), static_cast<std::size_t>(n));
+      size -= static_cast<std::size_t>(n);
     } else if (n == 0 || errno != EAGAIN) {
       ended = true;
       reset = n != 0;
--- a/tests/proxy/loopback_peer.h
+++ b/tests/proxy/loopback_peer.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -18,7 +19,7 @@
 sockaddr_in LoopbackAddress(int port);
 // Returns a new TCP socket that is connected to `port`. Fails the test if the connection is refused.
 UniqueFd ConnectToLoopback(int port);
-// Makes a descriptor non-blocking and returns it.
+// Makes a descriptor non-blocking, and its writes undelayed if it is a TCP socket, and returns it.
 UniqueFd NonBlocking(UniqueFd fd);
 
 // How a peer ends its connection.
@@ -33,6 +34,8 @@
 
   // Reads all input that is available.
   void Read();
+  // The same, but reads at most `size` bytes.
+  void ReadAtMost(std::size_t size);
   // Sends all of `text`; fails the test if the socket does not accept it.
   void Send(std::string_view text) const;
   // Finishes sending (FIN); the peer can still read.
--- /dev/null
+++ b/tests/proxy/session_end_test.cpp
@@ -0,0 +1,97 @@
+// What either side has sent before a session ends or is migrated reaches the other side, whoever ends it and
+// wherever it lies: unread in a socket, held back behind a full buffer, or in pieces.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "proxy/loopback_fixture.h"
+
+namespace stoatrun {
+namespace {
+
+// Scripts after which the proxy migrates client a once the clock has advanced by 150 ms more.
+constexpr const char* kAboutToShutDown = "drain\nwait 400";
+constexpr const char* kAboutToDrain = "drain-call\nwait 1750";
+constexpr const char* kAboutToLeaveSilentEndpoint = "a send M 1 x\ns-1 expect M 1 x\nwait 4200";
+
+// The lines of an endpoint are answers, so it is not silent.
+std::string AnyDrain() { return GENERATE(kAboutToShutDown, kAboutToDrain); }
+
+std::string AnyMigration() { return GENERATE(kAboutToShutDown, kAboutToDrain, kAboutToLeaveSilentEndpoint); }
+
+// The proxy threw away the endpoint's lines that it had not read when it migrated the client (review/7).
+TEST_CASE_METHOD(SingleEndpointFixture, "a migrated client first gets all lines that lie unread") {
+  Play(kEstablishSession);
+  Play(AnyDrain());
+  Play("stall 150 s-1 flood 300");
+  Play("a expect-all-moved\ns-1 expect-end");
+}
+
+// The client's unread lines were thrown away at its migration in the same way.
+TEST_CASE_METHOD(SingleEndpointFixture, "the endpoint of a migrated client gets all lines that lie unread") {
+  Play(kEstablishSession);
+  Play(AnyMigration());
+  Play("stall 150 a flood 300");
+  Play("s-1 expect-flood\ns-1 expect-end\na expect MOVE\na expect-end");
+}
+
+// Closing the endpoint's connection dropped the output queued for it.
+TEST_CASE_METHOD(SingleEndpointFixture, "a slow endpoint of a migrated client gets all its lines") {
+  Play(kEstablishSession);
+  Play(AnyMigration());
+  Play("a flood 12000\nwait 150\ns-1 expect-flood\nwait 800\na expect MOVE\na expect-end\ns-1 expect-end");
+}
+
+// MOVE overtook the lines that the client's full buffers held back in the endpoint's socket.
+TEST_CASE_METHOD(SingleEndpointFixture, "a slow client gets all lines before MOVE") {
+  Play(kEstablishSession);
+  Play(AnyDrain());
+  Play("s-1 flood 12000\nwait 150\na expect-all-moved");
+}
+
+// The rest of a line that came in pieces was dropped, or the endpoint was sent a part of a line as its last.
+TEST_CASE_METHOD(SingleEndpointFixture, "a line in pieces is completed before the migration") {
+  Play(kEstablishSession);
+  const std::string migration = AnyMigration();
+  INFO(migration);
+  Play(migration);
+  SECTION("the endpoint's") {
+    Play(
+        "s-1 raw M 1 fi\nwait 200\ns-1 raw rst\nwait 50\ns-1 send line\na expect M 1 firstline\na expect "
+        "MOVE");
+  }
+  SECTION("the client's") {
+    Play("a raw M 2 fi\nwait 200\na raw rst\nwait 50\na send line\na expect MOVE\na expect-end");
+    Play("s-1 expect M 2 firstline\ns-1 expect-end");
+  }
+  SECTION("neither waits for longer than a second") {
+    Play("s-1 raw M 1 fi\na raw M 2 fi\nwait 1100\na expect MOVE\na expect-end");
+  }
+}
+
+// The client's lines were thrown away when the endpoint's end was read before them.
+TEST_CASE_METHOD(SingleEndpointFixture,
+                 "an endpoint that finishes sending still gets all lines that lie unread") {
+  Play(kEstablishSession);
+  Play("turns 0\na flood 300\ns-1 half\nturns 3\na expect-end\ns-1 expect-flood\ns-1 expect-end");
+}
+
+// A failed write hid what the endpoint had sent before it reset the connection.
+TEST_CASE_METHOD(SingleEndpointFixture, "the last lines before an endpoint's reset reach the client") {
+  Play(kEstablishSession);
+  const std::string line(40'000, 'x');  // More than one turn reads.
+  Play("turns 0");
+  SECTION("nothing else happens") {}
+  SECTION("a write to it fails first") { Play("a send M 1 x"); }
+  Play("s-1 send " + line + "\ns-1 reset\nturns 3\na expect " + line + "\na expect-reset");
+}
+
+// A client that read slowly was cut off 2.4 s after its migration, without MOVE.
+TEST_CASE_METHOD(SingleEndpointFixture, "a migrated client that reads slowly gets MOVE as long as it reads") {
+  Play(kEstablishSession);
+  Play("s-1 flood 12000\ndrain-call\nwait 3500");
+  for (int k = 0; k < 5; ++k) Play("a read 100000\nwait 1000");
+  Play("a expect-moved");
+}
+
+}  // namespace
+}  // namespace stoatrun
