Never send on a request whose client has left, nor an id a second time

Operators saw requests sent on after their client had closed with much unread, and ids that ran twice.

A client's end lies behind all it has sent, and a waiting client was read for 8 KiB only. What it sends early is now set aside, up to 64 KiB (2 MiB of all clients), and beyond that the request is refused; all is read before each write. Ids that were sent are kept for ten minutes in a fixed table, which a process that inherits the listening socket shares with the one it replaces by a file in TMPDIR.

'closed behind any amount of unread data', 'early data of many clients' and 'an id that an endpoint has been sent' fail on the code before.

--- a/src/base/tcp_connection.cpp
+++ b/src/base/tcp_connection.cpp
@@ -96,6 +96,23 @@
   UpdateWatcher();
 }
 
+std::string TcpConnection::TakeInputAfter(std::size_t offset) {
+  std::string taken(input().substr(std::min(offset, input_size_)));
+  input_size_ -= taken.size();
+  UpdateWatcher();
+  return taken;
+}
+
+void TcpConnection::PrependInput(std::string_view bytes) {
+  const std::size_t size = bytes.size() + input_size_;
+  auto joined = std::make_unique<char[]>(std::max(kInputCapacity, size));
+  std::memcpy(joined.get(), bytes.data(), bytes.size());
+  std::memcpy(joined.get() + bytes.size(), input_.get(), input_size_);
+  input_ = std::move(joined);
+  input_size_ = size;
+  UpdateWatcher();
+}
+
 void TcpConnection::DiscardInput() {
   discarding_ = true;
   input_.reset();
--- a/src/base/tcp_connection.h
+++ b/src/base/tcp_connection.h
@@ -107,6 +107,10 @@
   std::string_view input() const { return {input_.get(), input_size_}; }
   // Removes the first `size` bytes from the input.
   void Consume(std::size_t size);
+  // Removes the input after its first `offset` bytes and returns it.
+  std::string TakeInputAfter(std::size_t offset);
+  // Puts `bytes` in front of the input. Reading goes on once all but kInputCapacity has been consumed.
+  void PrependInput(std::string_view bytes);
   // Enables or disables reading from the socket; initially enabled.
   void SetReading(bool enabled);
   // Discards buffered and future input; OnInputDiscarded reports how much is received.
@@ -165,7 +169,7 @@
   bool discarding_ = false;
   bool peer_closing_reported_ = false;
   Timer peer_reset_check_;         // Set while the socket is not watched, see CheckPeerReset.
-  std::unique_ptr<char[]> input_;  // Allocated on first use: idle connections need none.
+  std::unique_ptr<char[]> input_;  // kInputCapacity or more. Allocated on first use: idle ones need none.
   std::size_t input_size_ = 0;
   std::string output_;
   std::size_t output_begin_ = 0;  // Offset of the first unwritten byte.
--- a/src/cli/relay_process.cpp
+++ b/src/cli/relay_process.cpp
@@ -1,16 +1,22 @@
 #include "cli/relay_process.h"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <cstdlib>
 #include <exception>
+#include <memory>
+#include <string>
+#include <system_error>
 #include <utility>
 
 #include "admin/metrics.h"
 #include "cli/cli.h"
 #include "cli/fleet_setup.h"
 #include "cli/ledger_setup.h"
+#include "config/site_settings.h"
 #include "fleet/io/status.h"
 
 namespace stoatrun::cli {
@@ -23,6 +29,22 @@
   return std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+// The memory of SentRequestIds: a file in the folder for temporary files, if the platform passes the
+// listening socket from each process to the next, which then runs beside it for a while.
+std::unique_ptr<SharedMemory> SentIdMemory(const Config& config) {
+  constexpr std::size_t kSize = SentRequestIds::kMemorySize;
+  const char* const folder = std::getenv("TMPDIR");
+  if (!config.accept_fd || folder == nullptr) return std::make_unique<SharedMemory>(kSize);
+  const std::string relay = config.proxy_name + ' ' + config.listen_text;
+  try {
+    return std::make_unique<SharedMemory>(
+        fmt::format("{}/stoatrun-sent-ids-{:016x}", folder, HashName(relay)), kSize);
+  } catch (const std::system_error& error) {
+    LogLine(Level::kWarn, "sent request ids are not shared with another process").Reason(error.what());
+    return std::make_unique<SharedMemory>(kSize);
+  }
+}
+
 template <typename T>
 T* PointerOrNull(std::optional<T>& component) {
   return component ? &*component : nullptr;
@@ -40,7 +62,7 @@
     : operator_path_(std::move(operator_path)), config_(config), operator_file_(std::move(operator_file)) {
   if (operator_file_.has_ledger()) CreateLedger();
   if (operator_file_.has_fleet()) CreateFleet();
-  proxy_.emplace(loop_, config_, PointerOrNull(usage_recorder_), PointerOrNull(fleet_member_));
+  CreateProxy();
   if (config_.management) admin_server_.emplace(loop_, static_cast<AdminHandler&>(*this));
   on_terminate_.emplace(loop_, SIGTERM, [this] { proxy_->BeginGracefulShutdown(); });
   on_interrupt_.emplace(loop_, SIGINT, [this] { proxy_->BeginGracefulShutdown(); });
@@ -71,6 +93,12 @@
   fleet_member_.emplace(loop_, *gossip_transport_, FleetQuotaGroups(config_, section));
 }
 
+void RelayProcess::CreateProxy() {
+  sent_ids_ = SentIdMemory(config_);
+  proxy_.emplace(loop_, config_, SentRequestIds(SentRequestIds::SlotsIn(sent_ids_->Data())),
+                 PointerOrNull(usage_recorder_), PointerOrNull(fleet_member_));
+}
+
 void RelayProcess::Serve() {
   Start();
   loop_.Run();
--- a/src/cli/relay_process.h
+++ b/src/cli/relay_process.h
@@ -6,12 +6,14 @@
 #ifndef STOATRUN_CLI_RELAY_PROCESS_H_
 #define STOATRUN_CLI_RELAY_PROCESS_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "admin/admin_server.h"
 #include "base/event_loop.h"
 #include "base/log.h"
+#include "base/shared_memory.h"
 #include "cli/signal_handler.h"
 #include "config/config.h"
 #include "config/operator_file.h"
@@ -43,6 +45,7 @@
  private:
   void CreateLedger();
   void CreateFleet();
+  void CreateProxy();
   void Start();
   void Shutdown();
 
@@ -67,6 +70,7 @@
   std::optional<ledger::ExportClient> export_client_;       // Set if the ledger has a receiver.
   std::optional<fleet::GossipTransport> gossip_transport_;  // Set if there is a fleet section.
   std::optional<fleet::FleetMember> fleet_member_;          // Set if there is a fleet section.
+  std::unique_ptr<SharedMemory> sent_ids_;                  // See SentRequestIds.
   std::optional<Proxy> proxy_;  // Calls the usage recorder and the fleet member until it is destroyed.
   std::optional<AdminServer> admin_server_;
   std::optional<SignalHandler> on_terminate_, on_interrupt_, on_print_counters_, on_reload_;
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -21,6 +21,10 @@
 // The maximum number of bytes read and discarded from a client that has been answered: as much as one core
 // reads within kDiscardTimeout. A client that sends more may lose its answer to a reset.
 constexpr std::size_t kMaxDiscarded = std::size_t{96} * 1024 * 1024;
+// A client waits for the answer to its request before it sends more. What it sends early is kept, because its
+// end lies behind it, within these limits: of one client, and of all clients together.
+constexpr std::size_t kMaxEarlyInput = std::size_t{64} * 1024;
+constexpr std::size_t kMaxTotalEarlyInput = std::size_t{2} * 1024 * 1024;
 // Descriptors for everything but clients and attempts: 32 idle probe connections, a dozen probes in progress,
 // the listener, the event loop, the log and discovery.
 constexpr std::size_t kReservedDescriptors = 48;
@@ -108,7 +112,20 @@
   client.tcp.DiscardInput();
 }
 
+bool Downstream::StoreEarlyInput(Client& client) {
+  std::string early = client.tcp.TakeInputAfter(client.request_line_size);
+  early_input_bytes_ += early.size();
+  client.early_input += early;
+  return client.early_input.size() <= kMaxEarlyInput && early_input_bytes_ <= kMaxTotalEarlyInput;
+}
+
+void Downstream::DropEarlyInput(Client& client) {
+  early_input_bytes_ -= client.early_input.size();
+  client.early_input = {};
+}
+
 void Downstream::Erase(Client& client) {
+  DropEarlyInput(client);
   if (client.state == State::kAwaitingRequest) awaiting_request_.erase(client.position);
   if (client.state == State::kEnding) ending_.erase(client.position);
   client.timer.Cancel();
@@ -151,6 +168,9 @@
   client->tcp.Write({line});
   client->tcp.Consume(client->request_line_size);
   client->request_line_size = 0;
+  if (client->early_input.empty()) return;
+  client->tcp.PrependInput(client->early_input);
+  DropEarlyInput(*client);
 }
 
 void Downstream::End(SlotId client_id, std::string_view last_line, EndMode mode) {
@@ -158,6 +178,7 @@
   if (client == nullptr || client->state == State::kEnding) return;
   // Closing immediately would answer bytes in transit with a reset, which may overtake the last line.
   if (client->state == State::kAwaitingRequest) awaiting_request_.erase(client->position);
+  DropEarlyInput(*client);
   client->state = State::kEnding;
   client->position = ending_.insert(ending_.end(), client->id);
   client->since = loop_.Now();
@@ -242,7 +263,10 @@
   client.timer.Cancel();
   const SlotId id = client.id;
   const SlotId owner = events_.OnOpen(id, request);
-  if (Client* remaining = clients_.Find(id)) remaining->owner = owner;  // OnOpen may have ended the client.
+  if (Client* remaining = clients_.Find(id)) {  // OnOpen may have ended the client.
+    remaining->owner = owner;
+    if (remaining->state == State::kInSession) ReadEarlyInput(*remaining);
+  }
   EvictOldest();
 }
 
@@ -298,13 +322,11 @@
   if (client->state == State::kAwaitingRequest) {
     ReadRequestLines(*client);
   } else if (client->state == State::kInSession) {
-    const bool unanswered = client->request_line_size > 0;
-    if (unanswered && IsSecondRequest(client->tcp.input().substr(client->request_line_size))) {
-      ++counters_.malformed;
-      events_.OnClientEnd(client->owner, ConnectionEnd::kFinished);
-      return;
+    if (client->request_line_size > 0) {
+      ReadEarlyInput(*client);
+    } else {
+      events_.OnClientBytes(client->owner);
     }
-    events_.OnClientBytes(client->owner);
   }
 }
 
@@ -320,6 +342,17 @@
   client->timer.Set(std::min(client->since + kDiscardTimeout, loop_.Now() + kEndTimeout));
 }
 
+// In the session of a client that sends too much before its answer, nothing more is sent to an endpoint: the
+// client may have left, but its end can't be read.
+void Downstream::ReadEarlyInput(Client& client) {
+  const std::string_view early = client.tcp.input().substr(client.request_line_size);
+  const bool is_second_request = client.early_input.empty() && IsSecondRequest(early);
+  const bool is_full = client.tcp.input().size() == TcpConnection::kInputCapacity;
+  if (!is_second_request && (!is_full || StoreEarlyInput(client))) return;
+  ++counters_.malformed;
+  events_.OnClientEnd(client.owner, ConnectionEnd::kFinished);
+}
+
 void Downstream::OnEnd(SlotId id, ConnectionEnd end) {
   Client* client = clients_.Find(id);
   if (client == nullptr) return;
--- a/src/proxy/downstream.h
+++ b/src/proxy/downstream.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <list>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "base/counters.h"
@@ -115,6 +116,7 @@
     std::list<SlotId>::iterator position{};  // In awaiting_request_ or ending_.
     Micros since{0};                         // When it was accepted, or entered kEnding.
     std::size_t request_line_size = 0;       // Of an unanswered request, still in the input; 0: none.
+    std::string early_input;                 // What came after an unanswered request and left the input.
     std::size_t discarded_bytes = 0;
     EndMode end_mode = EndMode::kFinish;  // Valid in kEnding.
     std::size_t unsent_bytes = 0;         // In kEnding: at the last look.
@@ -134,6 +136,11 @@
   bool CanAddSession() const;
   void EvictOldest();
   void RejectEvicted(Client& client);
+  void ReadEarlyInput(Client& client);
+  // Whether the unanswered client may go on: sets aside what it has sent after its request, so that its end
+  // can be read.
+  bool StoreEarlyInput(Client& client);
+  void DropEarlyInput(Client& client);
   void Erase(Client& client);
   // Whether an ending client is to be kept open for longer; sets its timer if so.
   bool KeepEnding(Client& client);
@@ -148,6 +155,7 @@
   SlotMap<Client> clients_;
   // The clients in kAwaitingRequest and in kEnding, oldest first.
   std::list<SlotId> awaiting_request_, ending_;
+  std::size_t early_input_bytes_ = 0;  // Of all clients.
   LogRateLimiter malformed_log_, capacity_log_;
   Listener listener_;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -12,10 +12,12 @@
 
 }  // namespace
 
-Proxy::Proxy(EventLoop& loop, const Config& config, UsageMeter* meter, FleetClient* fleet)
+Proxy::Proxy(EventLoop& loop, const Config& config, SentRequestIds sent_ids, UsageMeter* meter,
+             FleetClient* fleet)
     : config_(config),
       pushed_(config.settings.balancer.list_mode == balancer::ListMode::kPushed),
-      sessions_(loop, meter, fleet),
+      sent_ids_(sent_ids),
+      sessions_(loop, meter, fleet, sent_ids_),
       controller_({loop, config_.settings, counters_, sessions_, downstream_, upstream_, discovery_,
                    balancer_, fleet_, resumption_, forwarder_}),
       balancer_(loop, config.settings.balancer, controller_),
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -25,6 +25,7 @@
 #include "proxy/graceful_shutdown.h"
 #include "proxy/message_latency_reporter.h"
 #include "proxy/operator_drain.h"
+#include "proxy/sent_request_ids.h"
 #include "proxy/session_controller.h"
 #include "proxy/session_resumption.h"
 #include "proxy/session_table.h"
@@ -36,8 +37,10 @@
 class Proxy {
  public:
   // `meter` records the usage of established sessions; `fleet` is the interface to the rest of the fleet.
-  // Both may be null. All arguments but `config` must outlive the proxy.
-  Proxy(EventLoop& loop, const Config& config, UsageMeter* meter = nullptr, FleetClient* fleet = nullptr);
+  // Both may be null. `sent_ids`: in memory that a process shares with the one that it replaces. All
+  // arguments but `config` must outlive the proxy.
+  Proxy(EventLoop& loop, const Config& config, SentRequestIds sent_ids, UsageMeter* meter = nullptr,
+        FleetClient* fleet = nullptr);
   Proxy(const Proxy&) = delete;
   Proxy& operator=(const Proxy&) = delete;
 
@@ -82,6 +85,7 @@
   // The components hold references to each other, so their order matters: no constructor uses a component
   // that is declared later, and Downstream, whose destructor still answers waiting clients, must be destroyed
   // before those declared above it.
+  SentRequestIds sent_ids_;
   SessionTable sessions_;
   SessionController controller_;
   BalancerDriver balancer_;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -108,6 +108,8 @@
   SlotId client;                    // The client's connection in Downstream.
   SlotId attempt;                   // The attempt in Upstream; unset while none is open.
   Timer timer;
+  bool holds_id = false;      // The connection id is in SentRequestIds by this session's request.
+  bool request_sent = false;  // The last byte of the request line was written to an endpoint.
 
   // The request. The views are valid while the session is pending.
   ConnectRequest request;
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -46,7 +46,7 @@
   ClassCounters* counters = CountersOfClass(ClassIndex(request.class_name));
   if (counters == nullptr) return OpenRequestError::kUnknownClass;
   // Clients use a new id for every connection. Endpoints could not distinguish two open connections with the
-  // same id.
+  // same id, and a request that comes again after its client has left would run twice.
   if (deps_.sessions.HasConnectionId(request.id)) {
     ++counters->aborted;
     return OpenRequestError::kDuplicateId;
@@ -297,12 +297,18 @@
         ToAttemptEnded(session_id, session->endpoint, AttemptEnd::kListOverdue, RequestState::kOpen, {}));
     return;
   }
-  if (TcpConnection* client = deps_.downstream.Find(session->client)) client->ReadNow();
+  // All of it, as the end lies behind everything that the client has sent.
+  if (TcpConnection* client = deps_.downstream.Find(session->client)) client->ReadUntilEmpty();
+  session = deps_.sessions.Find(session_id);
+  if (session == nullptr || deps_.sessions.ClaimConnectionId(*session)) return;
+  LogLine(Level::kInfo, "request sent before, client rejected").Field("session", session_id.ToUint64());
+  EndPending(*session, ConnectionEnd::kFinished);
 }
 
 void SessionController::OnAttemptSent(SlotId session_id) {
-  const Session* session = deps_.sessions.Find(session_id);
+  Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
+  session->request_sent = true;
   if (ClassCounters* counters = CountersOfClass(session->request.class_index)) ++counters->forwards;
 }
 
--- a/src/proxy/session_table.cpp
+++ b/src/proxy/session_table.cpp
@@ -1,9 +1,11 @@
 #include "proxy/session_table.h"
 
+#include "config/site_settings.h"
+
 namespace stoatrun {
 
-SessionTable::SessionTable(EventLoop& loop, UsageMeter* meter, FleetClient* fleet)
-    : loop_(loop), meter_(meter), fleet_(fleet) {
+SessionTable::SessionTable(EventLoop& loop, UsageMeter* meter, FleetClient* fleet, SentRequestIds& sent_ids)
+    : loop_(loop), meter_(meter), fleet_(fleet), sent_ids_(sent_ids) {
   loop_.AddTurnEndHook([this] { sessions_.Reclaim(); });
 }
 
@@ -14,7 +16,14 @@
 }
 
 bool SessionTable::HasConnectionId(std::string_view connection_id) const {
-  return connection_ids_.contains(std::string(connection_id));
+  return connection_ids_.contains(std::string(connection_id)) ||
+         sent_ids_.Contains(HashName(connection_id), loop_.clock.Current());
+}
+
+bool SessionTable::ClaimConnectionId(Session& session) {
+  if (session.holds_id) return true;
+  session.holds_id = sent_ids_.Claim(HashName(session.connection_id), loop_.clock.Current());
+  return session.holds_id;
 }
 
 void SessionTable::BeginUsage(Session& session) {
@@ -28,6 +37,7 @@
 void SessionTable::Erase(Session& session) {
   EndUsage(session);
   if (fleet_ != nullptr) fleet_->EndConnection(session.fleet_connection, session.outcome);
+  if (session.holds_id && !session.request_sent) sent_ids_.Release(HashName(session.connection_id));
   session.timer.Cancel();
   connection_ids_.erase(session.connection_id);
   sessions_.Erase(session.id);
--- a/src/proxy/session_table.h
+++ b/src/proxy/session_table.h
@@ -19,6 +19,7 @@
 #include "base/slot_map.h"
 #include "base/usage_meter.h"
 #include "proxy/drain_schedule.h"
+#include "proxy/sent_request_ids.h"
 #include "proxy/session.h"
 
 namespace stoatrun {
@@ -27,14 +28,17 @@
 class SessionTable {
  public:
   // `meter` and `fleet` may be null; all arguments must outlive the object.
-  SessionTable(EventLoop& loop, UsageMeter* meter, FleetClient* fleet);
+  SessionTable(EventLoop& loop, UsageMeter* meter, FleetClient* fleet, SentRequestIds& sent_ids);
 
   // Adds a pending session. `connection_id` must not be in use.
   Session& Add(std::string_view connection_id, SessionTimeoutHandler& handler);
   // Returns the session with this id, or null if it has been erased.
   Session* Find(SlotId id) { return sessions_.Find(id); }
-  // Whether a session has this connection id.
+  // Whether a session has this connection id, or had it lately and its request was sent to an endpoint.
   bool HasConnectionId(std::string_view connection_id) const;
+  // Must be called before the session's request is written. Returns false if it must not be, because a
+  // request with the same connection id has been sent, by this process or the one that it replaces.
+  bool ClaimConnectionId(Session& session);
 
   // Starts metering the usage of a session that is being established.
   void BeginUsage(Session& session);
@@ -60,6 +64,7 @@
   EventLoop& loop_;
   UsageMeter* const meter_;
   FleetClient* const fleet_;
+  SentRequestIds& sent_ids_;
   SlotMap<Session> sessions_;
   std::unordered_set<std::string> connection_ids_;
 };
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -69,6 +69,71 @@
   Play("a half\nwait 110\na expect ERR\na expect-end");
 }
 
+// A client that closed behind more than the proxy read was taken to be there, and its request was sent on up
+// to 2.8 s later.
+TEST_CASE("a request is not forwarded if its client closed behind any amount of unread data") {
+  const std::string address = GENERATE("", ",at=s-1");
+  LoopbackFixture fixture({"s-1"});
+  fixture.Play("s-1 full\na send OPEN 1 k c=watch,d=2000" + address + "\na flood 12000\na close\nwait 150");
+  CHECK(fixture.ProxyUnderTest().SessionCount() == 0);
+  fixture.Play("wait 1000\ns-1 legs 0");
+}
+
+// The same where the process is held up: it finds the request, the data and the end at once.
+TEST_CASE("a request is not forwarded if its client has closed while the process was held up") {
+  const std::string address = GENERATE("", ",at=s-1");
+  LoopbackFixture fixture({"s-1"});
+  fixture.Play("turns 0\na send OPEN 1 k c=watch,d=2000" + address + "\na raw " + std::string(40'000, 'x'));
+  fixture.Play("a close\nturns 3\nwait 500\ns-1 legs 0");
+  CHECK(fixture.Counts().client_disconnects == 1);
+}
+
+// The input buffer and the rest that was set aside must be joined in order.
+TEST_CASE_METHOD(SingleEndpointFixture, "much that a client sends before its answer is forwarded after it") {
+  Play("a send OPEN 1 k c=watch,d=2000\na flood 40\ns-1 expect OPEN 1 k*\ns-1 send UP r1\na expect UP r1");
+  Play("a flood 20\ns-1 expect-flood");
+}
+
+TEST_CASE_METHOD(SingleEndpointFixture, "early data of many clients stays within a limit") {
+  Play("s-1 full");
+  const std::string early(60'000, 'x');
+  for (int k = 0; k < 60; ++k) {
+    Play(fmt::format("c{0} send OPEN {0} k c=watch,d=2000\nc{0} raw {1}", k, early));
+  }
+  const std::size_t set_aside = early.size() - TcpConnection::kInputCapacity;  // Of each client, at least.
+  constexpr std::size_t kLimit = std::size_t{2} * 1024 * 1024;
+  CHECK(ProxyUnderTest().SessionCount() <= kLimit / set_aside + 1);
+  CHECK(ProxyUnderTest().SessionCount() >= kLimit / early.size());
+  for (int k = 0; k < 60; ++k) Play(fmt::format("c{} close", k));
+  CHECK(ProxyUnderTest().SessionCount() == 0);
+  Play("z send OPEN z k c=watch,d=2000\nz raw " + early);
+  CHECK(ProxyUnderTest().SessionCount() == 1);
+}
+
+// An id ran twice when it came again after its client had left, here or at the process that replaces this
+// one.
+TEST_CASE("an id that was sent to an endpoint is not sent again, by this process or its successor") {
+  SharedMemory sent_ids(SentRequestIds::kMemorySize);
+  LoopbackFixture before({"s-1"}, {.sent_ids = &sent_ids});
+  LoopbackFixture after({"s-1"}, {.sent_ids = &sent_ids});
+  before.Play("a send OPEN 1 k c=watch,d=2000\ns-1 expect OPEN 1 k*\na close\ns-1 expect-end");
+  SECTION("this process") {
+    before.Play("b send OPEN 1 k c=watch,d=2000\nb expect ERR\nb expect-end\ns-1 legs 1");
+  }
+  SECTION("its successor") {
+    after.Play("b send OPEN 1 k c=watch,d=2000\nb expect ERR\nb expect-end\nwait 500\ns-1 legs 0");
+  }
+  SECTION("its successor accepted the id before it was sent") {
+    after.Play("s-1 full\nb send OPEN 2 k c=watch,d=2000");
+    before.Play("b send OPEN 2 k c=watch,d=2000\ns-1#2 expect OPEN 2 k*");
+    after.Play("c send OPEN 2 k c=watch,d=2000\nc expect ERR");
+  }
+  SECTION("an id that was not sent is free") {
+    before.Play("s-1 full\nb send OPEN 3 k c=watch,d=2000\nwait 50\nb close");
+    after.Play("b send OPEN 3 k c=watch,d=2000\ns-1 expect OPEN 3 k*");
+  }
+}
+
 // Reading is paused while the other side accepts no data. A reset was then detected only when that side read
 // again.
 TEST_CASE_METHOD(SingleEndpointFixture, "a reset is detected while reading is paused") {
--- a/tests/proxy/loopback_fixture.cpp
+++ b/tests/proxy/loopback_fixture.cpp
@@ -28,7 +28,10 @@
   SetLogLevel(Level::kError);
   for (const char* name : {"discovery", "discovery2"}) discoveries_[name].Listen();
   for (const std::string& id : endpoints) endpoints_[id].Listen();
-  proxy_ = std::make_unique<Proxy>(loop_, ConfigWith(discoveries_["discovery"]), nullptr, options_.fleet);
+  const SharedMemory& sent_ids = options_.sent_ids != nullptr ? *options_.sent_ids : sent_ids_;
+  proxy_ = std::make_unique<Proxy>(loop_, ConfigWith(discoveries_["discovery"]),
+                                   SentRequestIds(SentRequestIds::SlotsIn(sent_ids.Data())), nullptr,
+                                   options_.fleet);
   proxy_->Start();
 }
 
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -45,6 +45,7 @@
 
 #include "base/event_loop.h"
 #include "base/fleet_client.h"
+#include "base/shared_memory.h"
 #include "proxy/loopback_peer.h"
 #include "proxy/proxy.h"
 
@@ -58,6 +59,7 @@
   std::string discovery_mode = "subscribe";  // The value of the setting `discovery`.
   int seed = 7;                              // Seeds the proxy's random numbers.
   FleetClient* fleet = nullptr;              // The rest of the fleet; may be null.
+  SharedMemory* sent_ids = nullptr;          // Shared with another proxy; null: its own.
 };
 
 // Owns the event loop, the proxy and the test's peers.
@@ -170,6 +172,7 @@
 
   const LoopbackOptions options_;
   EventLoop loop_{Clock::Mode::kManual};
+  SharedMemory sent_ids_{SentRequestIds::kMemorySize};
   std::map<std::string, LoopbackServer> endpoints_;
   std::map<std::string, LoopbackServer> discoveries_;  // discovery2 is used by reloads.
   bool discovery_refuses_ = false, discovery_mute_ = false;
--- a/tests/proxy/request_test.cpp
+++ b/tests/proxy/request_test.cpp
@@ -57,12 +57,12 @@
 
 // If the second client were served, the endpoint could not distinguish its connection from the first.
 TEST_CASE_METHOD(SingleEndpointFixture,
-                 "the id of an open connection is rejected for a new client, and is free after its end") {
+                 "an id that an endpoint has been sent is rejected for a new client, also after its end") {
   Play(kEstablishSession);
   Play("b send OPEN 1 k2 c=watch,d=2000\nb expect ERR\nb expect-end");
   Play("a send M 1 x\ns-1 expect M 1 x\na reset\ns-1 expect-reset");
-  Play("c send OPEN 1 k c=watch,d=2000\ns-1#2 expect OPEN 1 k*");
-  CHECK(Counts().malformed == 1);
+  Play("c send OPEN 1 k c=watch,d=2000\nc expect ERR\nc expect-end\ns-1 legs 1");
+  CHECK(Counts().malformed == 2);
 }
 
 TEST_CASE_METHOD(
