Bound the memory that an endpoint list takes by its values, not by its text

A list of 60,000 short entries (1.6 MB) took the process over 32 MB, where it is killed; 1,000,000 short values took 30.3 MB. The limit was on the text, and a value of two bytes takes 24 in the parser.

Both new tests in discovery_client_test.cpp fail on the code before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -152,6 +152,7 @@
   if (!members) return update;
   for (const element member : json::AsArray(*members, "members")) {
     Endpoint endpoint = ReadEndpoint(json::AsObject(member, "members"));
+    if (update.entries.size() == kMaxEndpoints) throw JsonError("members: too many");
     if (!endpoint.id.empty()) update.entries.push_back(std::move(endpoint));
   }
   return update;
--- a/src/endpoint/endpoint_update.h
+++ b/src/endpoint/endpoint_update.h
@@ -2,6 +2,7 @@
 #ifndef STOATRUN_ENDPOINT_ENDPOINT_UPDATE_H_
 #define STOATRUN_ENDPOINT_ENDPOINT_UPDATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   std::int64_t started_unix_ms = 0;  // Start time of its process, in Unix time; 0: long ago.
 };
 
+// The maximum number of endpoints that are listed at a time, and in one update. Further ones are not used.
+constexpr std::size_t kMaxEndpoints = 16384;
+
 // An update: changes to some endpoints, or the complete list.
 struct EndpointUpdate {
   std::uint64_t revision = 0;
--- a/src/endpoint/json_framing.h
+++ b/src/endpoint/json_framing.h
@@ -15,8 +15,11 @@
 // Splits one stream.
 class JsonObjectFramer {
  public:
-  // `max_object_size`: in bytes; a larger object is an error.
+  // `max_object_size`: in bytes; a larger object is an error. So is one with more than one separator (comma,
+  // colon or opening bracket) for each kMinBytesPerSeparator of that size: parsed values take far more memory
+  // than their text.
   explicit JsonObjectFramer(std::size_t max_object_size) : max_object_size_(max_object_size) {}
+  static constexpr std::size_t kMinBytesPerSeparator = 4;
 
   // Processes the next bytes of the stream. Calls `on_object(text)` for each completed object, and
   // `on_line_end()` for each line break between objects. Returns false if something other than an object
@@ -31,11 +34,13 @@
         if (byte != '{') return false;
       }
       if (object_.size() == max_object_size_) return false;
+      if (separators_ > max_object_size_ / kMinBytesPerSeparator) return false;
       object_ += byte;
       UpdateNesting(byte);
       if (depth_ > 0) continue;
       if (!on_object(std::string_view(object_))) return false;
       object_.clear();
+      separators_ = 0;
     }
     return true;
   }
@@ -51,7 +56,10 @@
       escaped_ = byte == '\\' && !escaped_;
     } else if (byte == '"') {
       in_string_ = true;
+    } else if (byte == ',' || byte == ':') {
+      ++separators_;
     } else if (byte == '{' || byte == '[') {
+      ++separators_;
       ++depth_;
     } else if (byte == '}' || byte == ']') {
       --depth_;
@@ -59,7 +67,8 @@
   }
 
   std::size_t max_object_size_;
-  std::size_t depth_ = 0;  // Number of open braces and brackets.
+  std::size_t separators_ = 0;  // Of the current object.
+  std::size_t depth_ = 0;       // Number of open braces and brackets.
   bool in_string_ = false;
   bool escaped_ = false;  // The previous character was an escaping backslash.
   std::string object_;    // The part of the current object received so far.
--- a/tests/endpoint/discovery_client_test.cpp
+++ b/tests/endpoint/discovery_client_test.cpp
@@ -87,6 +87,41 @@
   CHECK_FALSE(feed("]"));
 }
 
+class LoopbackTwoEndpoints : public LoopbackFixture {
+ public:
+  LoopbackTwoEndpoints() : LoopbackFixture({"s-1", "s-2"}) {}
+};
+
+// A list of very many short fields took 15 times the memory of its text, and the process was killed.
+TEST_CASE("JSON objects of very many short values are an error, those of endpoints are not") {
+  constexpr std::size_t kMaxSize = 4000;
+  const auto is_accepted = [&](std::string_view object) {
+    JsonObjectFramer framer(kMaxSize);
+    return framer.Feed(
+        object, [](std::string_view /*object*/) { return true; }, [] {});
+  };
+  std::string dense = "{\"a\":[", list = "{\"members\":[";
+  while (dense.size() < kMaxSize / 2 + 100) dense += "1,";
+  while (list.size() < kMaxSize - 100) list += R"({"id":"s-1","phase":"draining"},)";
+  CHECK_FALSE(is_accepted(dense + "1]}"));
+  CHECK(is_accepted(list + "{}]}"));
+  JsonObjectFramer framer(kMaxSize);
+  for (int k = 0; k < 1000; ++k) {  // The limit is that of one object.
+    REQUIRE(framer.Feed(
+        "{\"a\":1,\"b\":2}\n", [](std::string_view /*object*/) { return true; }, [] {}));
+  }
+}
+
+TEST_CASE_METHOD(LoopbackTwoEndpoints,
+                 "a list of more endpoints than are used is refused, and the old one stays") {
+  std::string members;
+  for (std::size_t k = 0; k <= kMaxEndpoints; ++k) members += R"({"id":"n)" + std::to_string(k) + R"("},)";
+  members.pop_back();
+  Play("discovery watches 1\ndiscovery send {\"revision\":2,\"members\":[" + members + "]}\nwait 1500");
+  Play("discovery watches 2\na send OPEN 1 k c=watch,d=2000\nwait 300");
+  CHECK(ProxyUnderTest().EndpointCount() == 2);
+}
+
 // Regression test: every byte received used to extend the timeout, so a watch that slowly sent an incomplete
 // update never timed out.
 TEST_CASE("a watch that sends bytes but never completes an event times out like a silent one") {
