Forget endpoints that are gone, and look at the changed ones only

Endpoints that are gone are forgotten once a table has doubled, unless a session, a connection or a request of the balancer refers to them. Zones that the settings do not name are known by their hash.

--- a/bench/hostile_peers.py
+++ b/bench/hostile_peers.py
@@ -112,6 +112,12 @@
             connection.sendall(chunk(b'{"revision":2,"members":[' + b'{"id":"x"},' * 190_000))
         elif hostile == "a-discovery-fields":
             connection.sendall(chunk(b'{"revision":2,' + b'"a":1,' * 300_000 + b'"b":1}\n'))
+        elif hostile == "a-discovery-dense":
+            connection.sendall(chunk(b'{"revision":2,"x":[' + b"1," * 1_000_000 + b"1]}\n"))
+        elif hostile == "a-discovery-large":  # The most that is used.
+            body = b",".join(b'{"id":"server-%d","host_port":"127.0.0.1:1","locality":"z","cell":0,"phase":"draining"}' % k
+                             for k in range(16_000))
+            connection.sendall(chunk(b'{"revision":2,"members":[' + body + b"]}\n"))
         elif hostile == "a-discovery-members":
             body = b",".join(b'{"id":"n%d","phase":"gone"}' % k for k in range(60_000))
             connection.sendall(chunk(b'{"revision":2,"members":[' + body + b"]}\n"))
@@ -316,7 +322,7 @@
     "c-again-upgrade": lambda p: again(p.clients, p.seconds),
     "c-at": lambda p: leave(p.clients, p.seconds, p.left, b",at=%s" % p.endpoint.encode(), 300_000),
 }
-CASES.update({name: None for name in ("none", "a-discovery-head", "a-discovery-half", "a-discovery-fields", "a-discovery-members",
+CASES.update({name: None for name in ("none", "a-discovery-head", "a-discovery-half", "a-discovery-dense", "a-discovery-large", "a-discovery-fields", "a-discovery-members",
                                       "b-discovery-ids", "b-discovery-lines", "b-discovery-bad")})
 
 
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -48,10 +48,21 @@
     }
     if (update.kind != EndpointUpdate::Kind::kCached) watch_due_ = Micros(0);
     endpoints_.Apply(update);
+    if (endpoints_.IsForgettingDue()) ForgetRemovedEndpoints();
     if (std::exchange(started_, true)) return;
     if (context_.settings.list_mode == ListMode::kSubscribed) Watch();
     Schedule(context_.random.Jittered(kTickInterval, 0.0, 1.0), [this] { Tick(); });
   }
+  void ForgetRemovedEndpoints() {
+    std::unordered_set<const EndpointRecord*> used;
+    placement_.CollectEndpoints(used);
+    requests_.ForEach([&](const Request& request) {
+      used.insert({request.endpoint, request.group_home, request.first_run_endpoint});
+      used.insert(request.tried_endpoints.begin(), request.tried_endpoints.end());
+      used.insert(request.pending_probes.begin(), request.pending_probes.end());
+    });
+    endpoints_.ForgetRemoved(used);
+  }
   void Watch() {
     Emit(WatchEndpoints{});
     ScheduleWatch(kWatchTimeout);
--- a/src/balancer/endpoint_table.h
+++ b/src/balancer/endpoint_table.h
@@ -1,7 +1,9 @@
 // The endpoints listed by discovery with their health, connections and utilization. A record keeps its
-// address and is kept when its endpoint is removed from the list.
+// address, and is kept for a while when its endpoint is removed from the list.
 #pragma once
 
+#include <unordered_set>
+
 #include "balancer/slow_start.h"
 #include "base/stable_table.h"
 
@@ -25,6 +27,9 @@
 constexpr Micros kBaseEjectionTime = std::chrono::milliseconds(500);
 constexpr int kMaxEjectionDoublings = 4;
 
+// Removed endpoints are forgotten at the earliest with so many endpoints.
+constexpr std::size_t kMinForgetAtSize = 128;
+
 enum class FailureSource { kProbe, kAttempt };
 
 // The failures of one endpoint and its ejection.
@@ -95,9 +100,9 @@
  public:
   explicit EndpointTable(Context& context) : context_(context) {}
 
-  // Null if the endpoint was never listed.
+  // Null if the endpoint was never listed, or was removed and forgotten.
   EndpointRecord* Find(EndpointId id) { return records_.Find(id); }
-  // Includes removed endpoints.
+  // Includes removed endpoints that are not forgotten.
   const std::vector<EndpointRecord*>& All() const { return all_; }
   const std::vector<EndpointRecord*>& Ready() const { return ready_.Items(); }
   SlowStartPolicy& GetSlowStartPolicy() { return slow_start_policy_; }
@@ -123,6 +128,23 @@
     }
   }
 
+  // Whether so many endpoints have been added that ForgetRemoved is due.
+  bool IsForgettingDue() const { return all_.size() >= forget_at_size_; }
+  // Erases the records of removed endpoints, except those in `used`.
+  void ForgetRemoved(const std::unordered_set<const EndpointRecord*>& used) {
+    std::vector<EndpointRecord*> kept;
+    for (EndpointRecord* endpoint : all_) {
+      const bool is_removed = endpoint->info.state == EndpointState::kRemoved && !endpoint->probe_in_flight;
+      if (is_removed && !used.contains(endpoint)) {
+        records_.Erase(endpoint->info.id);
+      } else {
+        kept.push_back(endpoint);
+      }
+    }
+    all_ = std::move(kept);
+    forget_at_size_ = std::max(kMinForgetAtSize, 2 * all_.size());
+  }
+
   bool HasMoreReplicasThanEndpoints() const { return context_.settings.replicas > ready_.size(); }
   // True if there are no load reports and too few connections of this replica to infer utilization from.
   bool LacksLoadData() const {
@@ -252,6 +274,7 @@
   stoatrun::StableTable<EndpointId, EndpointRecord> records_;
   std::vector<EndpointRecord*> all_;  // In the order in which they were first listed.
   stoatrun::DenseSet<EndpointRecord, &EndpointRecord::ready_index> ready_;
+  std::size_t forget_at_size_ = kMinForgetAtSize;
   std::uint64_t updates_ = 0;
   double utilization_sum_ = 0;             // Of the sampled endpoints, each capped at kMaxUtilizationInMean.
   int sampled_count_ = 0;                  // Endpoints in utilization_sum_.
--- a/src/balancer/placement.h
+++ b/src/balancer/placement.h
@@ -42,6 +42,10 @@
     if (pool_.size() >= kProbePoolCapacity) pool_.erase(pool_.begin());
     pool_.push_back({&endpoint, context_.now, 0});
   }
+  // Adds the endpoints in the pool to `used`.
+  void CollectEndpoints(std::unordered_set<const EndpointRecord*>& used) const {
+    for (const ProbeResult& result : pool_) used.insert(result.endpoint);
+  }
   std::ptrdiff_t CountUsableProbeResults(const Request& request) const {
     return std::count_if(pool_.begin(), pool_.end(), [&](auto& result) { return IsUsable(request, result); });
   }
--- a/src/base/stable_table.h
+++ b/src/base/stable_table.h
@@ -7,7 +7,6 @@
 
 namespace stoatrun {
 
-// It provides no iteration, because the order would be unspecified.
 template <typename Id, typename Record>
 class StableTable {
  public:
@@ -21,6 +20,11 @@
     const auto [it, added] = records_.try_emplace(id);
     return {it->second, added};
   }
+  // Calls `visit(record)` for each record, in an unspecified order.
+  template <typename Visitor>
+  void ForEach(Visitor&& visit) {
+    for (auto& [id, record] : records_) visit(record);
+  }
   // Takes `id` by value because it may be part of the record.
   void Erase(Id id) { records_.erase(id); }
 
--- a/src/proxy/balancer_mapping.cpp
+++ b/src/proxy/balancer_mapping.cpp
@@ -57,10 +57,13 @@
   return event;
 }
 
-balancer::ZoneId FindOrAddZone(const std::string& locality, std::vector<std::string>& zones) {
-  auto it = std::find(zones.begin(), zones.end(), locality);
-  if (it == zones.end()) it = zones.insert(zones.end(), locality);
-  return balancer::ZoneId(static_cast<std::uint32_t>(it - zones.begin()));
+// Zones are only compared. One that the settings do not name is known by its hash, so that no list of them
+// grows.
+balancer::ZoneId ToZoneId(const std::string& locality, const std::vector<std::string>& zone_names) {
+  const auto it = std::find(zone_names.begin(), zone_names.end(), locality);
+  if (it != zone_names.end()) return balancer::ZoneId(static_cast<std::uint32_t>(it - zone_names.begin()));
+  constexpr std::uint32_t kUnnamed = std::uint32_t{1} << 31U;
+  return balancer::ZoneId(kUnnamed | static_cast<std::uint32_t>(HashName(locality)));
 }
 
 balancer::EndpointState ToEndpointState(EndpointState state) {
@@ -131,13 +134,15 @@
 
 balancer::Event ToEndpointUpdate(const EndpointUpdate& update, EndpointSource source,
                                  const EndpointTable& table, const Clock& clock,
-                                 std::vector<std::string>& zones) {
+                                 const std::vector<std::string>& zone_names) {
   balancer::EndpointUpdate event;
   event.kind = ToUpdateKind(update, source);
   for (const Endpoint& endpoint : update.entries) {
     balancer::Endpoint entry;
-    entry.id = ToEndpointId(*table.Find(endpoint.id));
-    entry.zone = FindOrAddZone(endpoint.locality, zones);
+    const auto index = table.Find(endpoint.id);
+    if (!index) continue;
+    entry.id = ToEndpointId(*index);
+    entry.zone = ToZoneId(endpoint.locality, zone_names);
     entry.cell = balancer::CellId(endpoint.cell);
     entry.state = ToEndpointState(endpoint.state);
     entry.size = endpoint.size;
--- a/src/proxy/balancer_mapping.h
+++ b/src/proxy/balancer_mapping.h
@@ -1,7 +1,6 @@
 // Conversions between the proxy's types and those of the balancer's interface (include/balancer). A session's
 // SlotId becomes the balancer's RequestId, an EndpointIndex its EndpointId. Functions that return a
-// balancer::Event are named To and the name of the event. All are pure functions except ToEndpointUpdate,
-// which adds zones that it sees for the first time.
+// balancer::Event are named To and the name of the event. All are pure functions.
 #ifndef STOATRUN_PROXY_BALANCER_MAPPING_H_
 #define STOATRUN_PROXY_BALANCER_MAPPING_H_
 
@@ -64,11 +63,11 @@
                             bool eject);
 // The watch on the endpoint list has failed.
 balancer::Event ToEndpointUpdateFailed();
-// A new endpoint list, or changes to the current one. All endpoints of `update` must be in `table`. `zones`:
-// the names of the balancer's zones, indexed by ZoneId; new zones are appended.
+// A new endpoint list, or changes to the current one. Leaves out endpoints that are not in `table`.
+// `zone_names`: of the zones that the settings name, indexed by ZoneId.
 balancer::Event ToEndpointUpdate(const EndpointUpdate& update, EndpointSource source,
                                  const EndpointTable& table, const Clock& clock,
-                                 std::vector<std::string>& zones);
+                                 const std::vector<std::string>& zone_names);
 
 }  // namespace stoatrun
 
--- a/src/proxy/endpoint_table.h
+++ b/src/proxy/endpoint_table.h
@@ -1,13 +1,15 @@
-// The table of all endpoints that the proxy has been told of, each with an index that never changes. Used by
+// The table of the endpoints that the proxy has been told of, each with an index that never changes. Used by
 // the event loop's thread only.
 #ifndef STOATRUN_PROXY_ENDPOINT_TABLE_H_
 #define STOATRUN_PROXY_ENDPOINT_TABLE_H_
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/tcp_connection.h"
@@ -18,8 +20,8 @@
 // Identifies an endpoint within this process. Also the balancer's id of the endpoint.
 using EndpointIndex = std::uint32_t;
 
-// Maps endpoint ids to indexes, addresses and states. Endpoints are never removed, because the balancer
-// may still refer to one that is no longer listed.
+// Maps endpoint ids to indexes, addresses and states. An index is not used again for another endpoint.
+// Endpoints that are gone are kept for a while, as sessions and the balancer may still refer to them.
 class EndpointTable {
  public:
   // An endpoint, according to the last update that included it.
@@ -27,27 +29,41 @@
     std::string id;
     std::optional<Address> address;  // nullopt until an update contains a valid one.
     EndpointState state = EndpointState::kReady;
+    std::uint64_t last_update = 0;  // The number of that update.
   };
 
-  // Applies the entries of `update`. A complete update marks all other endpoints as gone.
-  void Apply(const EndpointUpdate& update);
+  // Applies the entries of `update`. A complete update marks all other endpoints as gone. Returns the
+  // endpoints that it included or marked. New endpoints beyond kMaxEndpoints are left out.
+  std::vector<EndpointIndex> Apply(const EndpointUpdate& update);
 
-  // The index of `id`; nullopt if no update has included it yet.
+  // Whether so many endpoints have been added that ForgetGone is due.
+  bool IsForgettingDue() const { return entries_.size() >= forget_at_size_; }
+  // Removes the endpoints that are gone, except those in `used`. Returns their indexes.
+  std::vector<EndpointIndex> ForgetGone(const std::unordered_set<EndpointIndex>& used);
+
+  // The index of `id`; nullopt if it is not in the table.
   std::optional<EndpointIndex> Find(const std::string& id) const;
-  // The endpoint with a valid `index`.
-  const Entry& Get(EndpointIndex index) const { return entries_[index]; }
-  // The id of the endpoint with a valid `index`.
-  const std::string& IdOf(EndpointIndex index) const { return entries_[index].id; }
-  // The number of endpoints in the table, listed or gone. All valid indexes are below it.
+  // Whether an endpoint has this index.
+  bool Contains(EndpointIndex index) const { return entries_.contains(index); }
+  // The endpoint with this index; one that is gone and has no id if it was removed.
+  const Entry& Get(EndpointIndex index) const;
+  // The id of the endpoint with this index; empty if it was removed.
+  const std::string& IdOf(EndpointIndex index) const { return Get(index).id; }
+  // The number of endpoints in the table, listed or gone.
   std::size_t Size() const { return entries_.size(); }
   // The number of endpoints that are currently listed, ready or draining.
   std::size_t ListedCount() const;
 
  private:
-  EndpointIndex FindOrAdd(const std::string& id);
+  static constexpr std::size_t kMinForgetAtSize = 128;
+
+  std::optional<EndpointIndex> FindOrAdd(const std::string& id);
 
-  std::vector<Entry> entries_;
+  std::map<EndpointIndex, Entry> entries_;
   std::unordered_map<std::string, EndpointIndex> indexes_;
+  EndpointIndex next_index_ = 0;
+  std::uint64_t updates_ = 0;
+  std::size_t forget_at_size_ = kMinForgetAtSize;
 };
 
 }  // namespace stoatrun
--- a/src/proxy/endpoint_updater.cpp
+++ b/src/proxy/endpoint_updater.cpp
@@ -5,13 +5,14 @@
 namespace stoatrun {
 
 EndpointUpdater::EndpointUpdater(EventLoop& loop, const SiteSettings& site, Upstream& upstream,
-                                 FleetQuotaGuard& fleet, BalancerDriver& balancer)
+                                 FleetQuotaGuard& fleet, BalancerDriver& balancer, SessionTable& sessions)
     : loop_(loop),
       upstream_(upstream),
       fleet_(fleet),
       balancer_(balancer),
+      sessions_(sessions),
       lists_are_pushed_(site.balancer.list_mode == balancer::ListMode::kPushed),
-      zones_(site.zone_names) {}
+      zone_names_(site.zone_names) {}
 
 void EndpointUpdater::Apply(const EndpointUpdate& update, EndpointSource source) {
   upstream_.ApplyUpdate(update);
@@ -21,7 +22,9 @@
       .Flag("complete", update.complete)
       .Flag("changes", !update.complete)
       .Field("entries", update.entries.size());
-  balancer_.HandleEvent(ToEndpointUpdate(update, source, upstream_.Endpoints(), loop_.clock, zones_));
+  balancer_.HandleEvent(ToEndpointUpdate(update, source, upstream_.Endpoints(), loop_.clock, zone_names_));
+  if (upstream_.Endpoints().Size() >= kMaxEndpoints) LogLine(Level::kWarn, "endpoint table is full");
+  if (upstream_.IsForgettingDue()) upstream_.ForgetGoneEndpoints(sessions_.UsedEndpoints());
 }
 
 void EndpointUpdater::OnEndpointUpdate(const EndpointUpdate& update) {
--- a/src/proxy/endpoint_updater.h
+++ b/src/proxy/endpoint_updater.h
@@ -13,6 +13,7 @@
 #include "proxy/balancer_driver.h"
 #include "proxy/balancer_mapping.h"
 #include "proxy/fleet_quota_guard.h"
+#include "proxy/session_table.h"
 #include "proxy/upstream.h"
 
 namespace stoatrun {
@@ -22,9 +23,10 @@
  public:
   // All references except `site` must outlive the object.
   EndpointUpdater(EventLoop& loop, const SiteSettings& site, Upstream& upstream, FleetQuotaGuard& fleet,
-                  BalancerDriver& balancer);
+                  BalancerDriver& balancer, SessionTable& sessions);
 
-  // Applies an update to the endpoint table, then to the fleet, and finally to the balancer.
+  // Applies an update to the endpoint table, then to the fleet, and finally to the balancer. Forgets
+  // endpoints that have been gone when there are many.
   void Apply(const EndpointUpdate& update, EndpointSource source);
 
   void OnEndpointUpdate(const EndpointUpdate& update) override;
@@ -35,8 +37,9 @@
   Upstream& upstream_;
   FleetQuotaGuard& fleet_;
   BalancerDriver& balancer_;
-  const bool lists_are_pushed_;     // Updates arrive without a request of the balancer.
-  std::vector<std::string> zones_;  // The names of the balancer's zones, indexed by ZoneId.
+  SessionTable& sessions_;
+  const bool lists_are_pushed_;                // Updates arrive without a request of the balancer.
+  const std::vector<std::string> zone_names_;  // Indexed by ZoneId.
 };
 
 }  // namespace stoatrun
--- a/src/proxy/fleet_quota_guard.cpp
+++ b/src/proxy/fleet_quota_guard.cpp
@@ -113,9 +113,11 @@
       ready_endpoints_.erase(endpoint.id);
       continue;
     }
+    const auto index = endpoints_.Find(endpoint.id);
+    if (!index) continue;
     ready_endpoints_[endpoint.id] = endpoint.started_unix_ms;
     const Micros started_at = loop_.clock.FromUnixMs(endpoint.started_unix_ms);
-    if (started_at.count() > 0) slow_start_began_at_[*endpoints_.Find(endpoint.id)] = started_at;
+    if (started_at.count() > 0) slow_start_began_at_[*index] = started_at;
   }
 }
 
--- a/src/proxy/message_latency_reporter.cpp
+++ b/src/proxy/message_latency_reporter.cpp
@@ -32,7 +32,9 @@
 
 void MessageLatencyReporter::OnAnswer(EndpointIndex endpoint, Micros latency) {
   if (slow_threshold_.count() == 0) return;
-  if (last_reports_.size() <= endpoint) last_reports_.resize(endpoint + 1);
+  if (last_reports_.size() > 2 * endpoints_.Size()) {
+    std::erase_if(last_reports_, [this](const auto& report) { return !endpoints_.Contains(report.first); });
+  }
   LastReport& last = last_reports_[endpoint];
   const bool slow = latency > slow_threshold_;
   if (slow ? loop_.Now() < last.reported_at + kReportInterval : !last.slow) return;
--- a/src/proxy/message_latency_reporter.h
+++ b/src/proxy/message_latency_reporter.h
@@ -3,7 +3,7 @@
 #ifndef STOATRUN_PROXY_MESSAGE_LATENCY_REPORTER_H_
 #define STOATRUN_PROXY_MESSAGE_LATENCY_REPORTER_H_
 
-#include <vector>
+#include <unordered_map>
 
 #include "balancer/balancer.h"
 #include "base/event_loop.h"
@@ -33,8 +33,8 @@
   EventLoop& loop_;
   const EndpointTable& endpoints_;
   BalancerDriver& balancer_;
-  const Micros slow_threshold_;           // Longer latencies are slow; 0: reports nothing.
-  std::vector<LastReport> last_reports_;  // By EndpointIndex.
+  const Micros slow_threshold_;  // Longer latencies are slow; 0: reports nothing.
+  std::unordered_map<EndpointIndex, LastReport> last_reports_;
 };
 
 }  // namespace stoatrun
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -27,7 +27,7 @@
       resumption_(loop, upstream_),
       latency_reporter_(loop, config.settings.balancer, upstream_.Endpoints(), balancer_),
       forwarder_(loop, sessions_, downstream_, upstream_, balancer_, latency_reporter_),
-      endpoint_updater_(loop, config.settings, upstream_, fleet_, balancer_),
+      endpoint_updater_(loop, config.settings, upstream_, fleet_, balancer_, sessions_),
       discovery_(loop, endpoint_updater_, counters_, config.discovery, config.discovery_text,
                  config.cached_endpoints.revision,
                  {pushed_ ? 1 : config.settings.balancer.replicas, config.settings.balancer.seed,
--- a/src/proxy/session_table.cpp
+++ b/src/proxy/session_table.cpp
@@ -49,6 +49,12 @@
   return count;
 }
 
+std::unordered_set<EndpointIndex> SessionTable::UsedEndpoints() {
+  std::unordered_set<EndpointIndex> used;
+  sessions_.ForEach([&](const Session& session) { used.insert(session.endpoint); });
+  return used;
+}
+
 std::vector<SlotId> SessionTable::PendingIds() {
   std::vector<SlotId> pending;
   sessions_.ForEach([&](const Session& session) {
--- a/src/proxy/session_table.h
+++ b/src/proxy/session_table.h
@@ -51,6 +51,8 @@
   std::size_t Size() const { return sessions_.Size(); }
   // The number of sessions in kEstablished.
   std::size_t EstablishedCount();
+  // The endpoints of the sessions' latest attempts.
+  std::unordered_set<EndpointIndex> UsedEndpoints();
   // The ids of the sessions in kPending.
   std::vector<SlotId> PendingIds();
   // The ids of the sessions in kHalfClosed and kClosing.
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "proxy/line_protocol.h"
 #include "proxy/time_fraction.h"
@@ -49,9 +50,7 @@
 // ---- endpoints ----
 
 void Upstream::ApplyUpdate(const EndpointUpdate& update) {
-  endpoints_.Apply(update);
-  per_endpoint_.resize(endpoints_.Size());
-  for (EndpointIndex endpoint = 0; endpoint < endpoints_.Size(); ++endpoint) {
+  for (const EndpointIndex endpoint : endpoints_.Apply(update)) {
     bool& has_drain_timer = per_endpoint_[endpoint].has_drain_timer;
     if (endpoints_.Get(endpoint).state == EndpointState::kReady) {
       has_drain_timer = false;
@@ -64,6 +63,11 @@
   }
 }
 
+void Upstream::ForgetGoneEndpoints(std::unordered_set<EndpointIndex> used) {
+  connections_.ForEach([&](const Connection& connection) { used.insert(connection.endpoint); });
+  for (const EndpointIndex endpoint : endpoints_.ForgetGone(used)) per_endpoint_.erase(endpoint);
+}
+
 void Upstream::StopSending(EndpointIndex endpoint) {
   if (endpoints_.Get(endpoint).state == EndpointState::kReady) return;
   std::vector<SlotId> connections_to_end;
@@ -261,7 +265,7 @@
 std::size_t Upstream::IdleProbeConnectionCount() const {
   return static_cast<std::size_t>(std::count_if(
       per_endpoint_.begin(), per_endpoint_.end(),
-      [](const EndpointConnections& endpoint) { return static_cast<bool>(endpoint.idle_probe_connection); }));
+      [](const auto& endpoint) { return static_cast<bool>(endpoint.second.idle_probe_connection); }));
 }
 
 // Keeps the connection for the endpoint's next probe, within kMaxIdleProbeConnections.
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -12,7 +12,8 @@
 #include <list>
 #include <optional>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
+#include <unordered_set>
 
 #include "base/counters.h"
 #include "base/event_loop.h"
@@ -91,6 +92,10 @@
   const EndpointTable& Endpoints() const { return endpoints_; }
   // Applies an update of the endpoint list.
   void ApplyUpdate(const EndpointUpdate& update);
+  // Whether so many endpoints have been listed that ForgetGoneEndpoints is due.
+  bool IsForgettingDue() const { return endpoints_.IsForgettingDue(); }
+  // Forgets the endpoints that are gone, except those in `used` and those with a connection.
+  void ForgetGoneEndpoints(std::unordered_set<EndpointIndex> used);
 
   // Starts an attempt and returns its id.
   SlotId Open(SlotId owner, EndpointIndex endpoint, const AttemptRequest& request);
@@ -192,7 +197,7 @@
   Counters& counters_;
   const Timeouts timeouts_;
   EndpointTable endpoints_;
-  std::vector<EndpointConnections> per_endpoint_;  // By EndpointIndex.
+  std::unordered_map<EndpointIndex, EndpointConnections> per_endpoint_;
   SlotMap<Connection> connections_;
   SlotMap<DrainTimer> drain_timers_;
   std::list<SlotId> lingering_;  // Oldest first.
--- a/tests/balancer/endpoint_table_test.cpp
+++ b/tests/balancer/endpoint_table_test.cpp
@@ -1,7 +1,11 @@
 // Endpoint updates and renewal of watches.
 #include <gtest/gtest.h>
+#include <malloc.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <random>
+#include <vector>
 
 #include "balancer/balancer_fixture.h"
 
@@ -37,6 +41,46 @@
   EXPECT_EQ(ActionsOfType<SendAttempt>(fixture.SendRequest(2)).size(), 1U);
 }
 
+// Removed endpoints are forgotten while requests that were sent to them are still in flight, are established
+// or are retried. With sanitizers this also shows any use of a record that is gone.
+TEST(EndpointTable, RemovedEndpointsAreForgottenWhenNoRequestUsesThem) {
+  Settings settings = NoProbeSettings(Idempotency::kIdempotent);
+  settings.seed = 20261205;
+  BalancerFixture fixture(settings);
+  std::mt19937 random(20261205);  // NOLINT(cert-msc51-cpp): reproducible.
+  const auto percent = [&](unsigned chance) { return random() % 100 < chance; };
+  std::vector<SendAttempt> in_flight;
+  std::uint64_t next_request = 1;
+  const auto collect = [&](const std::vector<Action>& actions) {
+    for (const SendAttempt& attempt : ActionsOfType<SendAttempt>(actions)) in_flight.push_back(attempt);
+  };
+  const auto list = [&](std::uint64_t first) {
+    std::vector<Endpoint> entries;
+    for (std::uint64_t id = first; id < first + 10; ++id) entries.push_back(ReadyEndpoint(id));
+    collect(fixture.UpdateEndpoints(entries, EndpointUpdate::Kind::kFull));
+  };
+  list(0);
+  std::size_t used_before = 0;
+  constexpr std::uint64_t kUpdates = 6000, kWarmUp = 1000;
+  for (std::uint64_t update = 1; update <= kUpdates; ++update) {
+    if (update == kWarmUp) used_before = mallinfo2().uordblks;
+    collect(fixture.SendRequest(next_request++));
+    list(update * 5);
+    collect(fixture.AdvanceTime(Milliseconds(20)));
+    while (in_flight.size() > 20) {
+      const std::size_t index = random() % in_flight.size();
+      const SendAttempt attempt = in_flight[index];
+      in_flight.erase(in_flight.begin() + static_cast<std::ptrdiff_t>(index));
+      if (percent(30)) collect(fixture.Handle(AttemptEstablished{attempt.id, attempt.endpoint}));
+      const bool finished = percent(50);
+      const Outcome outcome = percent(50) ? Outcome::kRejected : Outcome::kServed;
+      collect(fixture.Handle(AttemptEnded{attempt.id, attempt.endpoint, outcome, finished, {}}));
+    }
+  }
+  constexpr std::size_t kMaxGrowth = std::size_t{256} * 1024;  // 10 bytes for each of 25,000 endpoints.
+  EXPECT_LT(mallinfo2().uordblks, used_before + kMaxGrowth);
+}
+
 TEST(EndpointTable, FailedWatchKeepsTheListAndIsRenewed) {
   Settings settings = NoProbeSettings(Idempotency::kIdempotent);
   settings.list_mode = ListMode::kSubscribed;
--- a/tests/proxy/endpoint_update_test.cpp
+++ b/tests/proxy/endpoint_update_test.cpp
@@ -1,12 +1,68 @@
 // Endpoint lists, the watch at discovery and configuration reloads, on loopback sockets.
+#include <fmt/format.h>
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <string>
+#include <vector>
 
+#include "proxy/endpoint_table.h"
 #include "proxy/loopback_fixture.h"
 
 namespace stoatrun {
 namespace {
 
+constexpr int kIdsPerUpdate = 200;
+
+// An update that lists the next endpoints and removes those of the update before.
+std::string NextUpdate(int number) {
+  std::string members;
+  for (int k = 0; k < kIdsPerUpdate; ++k) {
+    const int added = number * kIdsPerUpdate + k;
+    members += fmt::format(R"({{"id":"n{}","host_port":"127.0.0.1:1","phase":"draining","locality":"z{}"}},)",
+                           added, added);
+    members += fmt::format(R"({{"id":"n{}","phase":"gone"}},)", added - kIdsPerUpdate);
+  }
+  members.pop_back();
+  return fmt::format("discovery send {{\"revision\":{},\"members\":[{}]}}\nwait 5", number + 2, members);
+}
+
+// Every endpoint ever listed was kept: 98,000 took 35 MB, and each change was compared with all of them.
+TEST_CASE_METHOD(SingleEndpointFixture, "memory does not grow with the number of endpoints ever listed") {
+  Play(kEstablishSession);
+  for (int k = 0; k < 20; ++k) Play(NextUpdate(k));
+  const std::size_t used_before = mallinfo2().uordblks;
+  for (int k = 20; k < 220; ++k) Play(NextUpdate(k));
+  constexpr std::size_t kMaxGrowth = std::size_t{512} * 1024;  // 13 bytes for each of 40,000.
+  CHECK(mallinfo2().uordblks < used_before + kMaxGrowth);
+  Play("a send M 1 x\ns-1 expect M 1 x\ns-1 send M 1 x\na expect M 1 x");
+  CHECK(ProxyUnderTest().EndpointCount() == kIdsPerUpdate + 1);
+}
+
+TEST_CASE("an endpoint that is gone is kept while it is used, and its index is not used again") {
+  EndpointTable table;
+  const auto update = [&](const std::string& id, EndpointState state) {
+    EndpointUpdate one;
+    one.entries.push_back({id, "127.0.0.1:1", "z", state});
+    table.Apply(one);
+    return *table.Find(id);
+  };
+  const EndpointIndex used = update("used", EndpointState::kGone);
+  const EndpointIndex unused = update("unused", EndpointState::kGone);
+  const EndpointIndex listed = update("listed", EndpointState::kDraining);
+  CHECK(table.ForgetGone({used}) == std::vector<EndpointIndex>{unused});
+  CHECK((table.IdOf(used) == "used" && table.IdOf(listed) == "listed" && table.IdOf(unused).empty()));
+  CHECK(table.Get(unused).state == EndpointState::kGone);
+  CHECK(update("unused", EndpointState::kReady) > listed);
+  for (std::size_t k = 0; k < 2 * kMaxEndpoints; ++k) {
+    EndpointUpdate one;
+    one.entries.push_back({std::to_string(k), "127.0.0.1:1", "z"});
+    table.Apply(one);
+  }
+  CHECK(table.Size() == kMaxEndpoints);
+}
+
 // Nothing may be sent to a draining endpoint after its grace time. Guards against an attempt that sends its
 // first byte when it connects, long after the grace time.
 TEST_CASE_METHOD(
