Keep a half-closed session while its endpoint still answers

The bound of one second is for an end of the endpoint. The session now ends with its endpoint, or with MOVE 4.3 s after its last bytes, later while a side still takes what it is sent; drains move it; the client's reset ends it at once. Writes don't raise SIGPIPE.

'a client that has finished sending gets what its endpoint still sends' fails on the code before. In 'every connection is reported to the fleet once' the endpoint closes after the client, as the session ends by that now.

--- a/src/base/tcp_connection.cpp
+++ b/src/base/tcp_connection.cpp
@@ -152,7 +152,10 @@
     for (const std::string_view piece : pieces) {
       if (count < parts.size()) parts[count++] = {const_cast<char*>(piece.data()), piece.size()};
     }
-    const ssize_t result = writev(fd_, parts.data(), static_cast<int>(count));
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = count;
+    const ssize_t result = sendmsg(fd_, &message, MSG_NOSIGNAL);
     if (result >= 0) {
       written = static_cast<std::size_t>(result);
     } else if (errno != EAGAIN && errno != EINTR) {
@@ -316,7 +319,7 @@
 
 void TcpConnection::Flush() {
   while (QueuedBytes() > 0) {
-    const ssize_t written = write(fd_, output_.data() + output_begin_, QueuedBytes());
+    const ssize_t written = send(fd_, output_.data() + output_begin_, QueuedBytes(), MSG_NOSIGNAL);
     if (written < 0) {
       if (errno == EINTR) continue;
       if (errno != EAGAIN) ReportResetLater();
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -1,6 +1,5 @@
 #include "proxy/forwarder.h"
 
-#include <chrono>
 #include <cstddef>
 #include <string>
 #include <utility>
@@ -12,10 +11,6 @@
 namespace stoatrun {
 namespace {
 
-// Clients send a line every 2 s and are answered immediately. The client of a silent endpoint must be
-// migrated within 7 s of the last answer.
-constexpr Micros kAnswerTimeout = std::chrono::milliseconds(4300);
-
 // How many bytes of `input` to forward. An incomplete line that exceeds the maximum length is forwarded in
 // pieces.
 std::size_t ForwardableSize(std::string_view input, Forwarder::Extent extent) {
@@ -98,7 +93,7 @@
   // this client while it handles them.
   const std::vector<std::string> lines = SplitLines(forwarded);
   attempt->Consume(forwarded.size());
-  if (session->timer.IsSet() && session->IsEstablished()) session->timer.Set(loop_.Now() + kAnswerTimeout);
+  if (session->timer.IsSet() && session->IsOpen()) session->timer.Set(loop_.Now() + kAnswerTimeout);
   for (const std::string& line : lines) {
     session = sessions_.Find(session_id);
     if (session == nullptr) return;
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -3,6 +3,7 @@
 #ifndef STOATRUN_PROXY_FORWARDER_H_
 #define STOATRUN_PROXY_FORWARDER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string_view>
 
@@ -19,6 +20,10 @@
 // Used by the event loop's thread only.
 class Forwarder {
  public:
+  // Clients send a line every 2 s and are answered immediately. The client of a silent endpoint must be
+  // migrated within 7 s of the last answer.
+  static constexpr Micros kAnswerTimeout = std::chrono::milliseconds(4300);
+
   // How much of an endpoint's input is forwarded to the client.
   enum class Extent : std::uint8_t {
     // An incomplete line stays buffered, so that a MOVE that the proxy sends is never inside a line.
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -78,7 +78,7 @@
 }
 
 void GracefulShutdown::MigrateStep(Micros remaining) {
-  const std::size_t established = sessions_.EstablishedCount();
+  const std::size_t established = sessions_.OpenCount();
   if (downstream_.IsInherited()) {
     // The next process is already serving, so migrated clients reach it at once. They are migrated evenly
     // from the start: the first ones show it the state of the endpoints before the rest arrive.
--- a/src/proxy/operator_drain.cpp
+++ b/src/proxy/operator_drain.cpp
@@ -35,7 +35,7 @@
 }
 
 void OperatorDrain::Step() {
-  const std::size_t established = sessions_.EstablishedCount();
+  const std::size_t established = sessions_.OpenCount();
   const drain::Step step = schedule_.Advance(loop_.Now(), established);
   counters_.drain_migrations += std::min(established, step.migrations);
   controller_.MigrateIdle(step.migrations);
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -53,8 +53,8 @@
 // kClosing: the session is about to end; what either side had sent before is still forwarded.
 //
 // The timer depends on the state. kPending: start of the next resumption attempt. kEstablished: deadline for
-// the endpoint's answer to the client's line. kHalfClosed: deadline for the endpoint to close. kClosing:
-// deadline for the end of forwarding.
+// the endpoint's answer to the client's line. kHalfClosed: deadline for the endpoint's next bytes or its
+// end. kClosing: deadline for the end of forwarding.
 class Session {
  public:
   // The states in the diagram above.
@@ -72,6 +72,8 @@
   bool IsPending() const { return state_ == State::kPending; }
   // Whether both sides may send lines.
   bool IsEstablished() const { return state_ == State::kEstablished; }
+  // Whether the endpoint may send lines: also to a client that has finished sending.
+  bool IsOpen() const { return state_ == State::kEstablished || state_ == State::kHalfClosed; }
   // Whether the client asked to resume a connection at the endpoint that already has it.
   bool IsResumed() const { return !resume_endpoint.empty(); }
 
@@ -88,7 +90,8 @@
     timer.Cancel();
   }
 
-  // kEstablished -> kHalfClosed: the client finished sending; the endpoint must close by `deadline`.
+  // kEstablished -> kHalfClosed: the client finished sending; the endpoint must send something or close by
+  // `deadline`.
   void HalfClose(Micros deadline) {
     assert(state_ == State::kEstablished);
     state_ = State::kHalfClosed;
@@ -127,6 +130,8 @@
   AttemptEnd announced_end = AttemptEnd::kBroken;  // The end that the endpoint's last line announced.
   bool client_is_within_line = false;  // The endpoint has been sent only a part of the client's last line.
 
+  std::size_t unsent_to_endpoint = 0;  // In kHalfClosed: when its timer was set.
+
   // Used in kClosing.
   SessionEnd closing;
   bool is_forwarding_rest = false;  // Forwarder::ForwardRest is running for this session.
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -18,8 +18,6 @@
 // A client's timeout starts when it sends its request line. This allowance covers the transit of the line and
 // of the answer.
 constexpr Micros kTransitAllowance = milliseconds(4);
-// After one side has closed, the other must close within 1 s.
-constexpr Micros kHalfClosedTimeout = milliseconds(800);
 // How long an ending session still forwards what its sides sent before, if one of them does not take it or
 // sends a line in pieces. An endpoint's end must be passed on within 1 s.
 constexpr Micros kClosingTimeout = milliseconds(800);
@@ -129,9 +127,12 @@
     ContinueClosing(session_id);
     return;
   }
-  if (TcpConnection* attempt = deps_.upstream.Find(session->attempt)) attempt->Finish();
+  if (TcpConnection* attempt = deps_.upstream.Find(session->attempt)) {
+    attempt->Finish();
+    session->unsent_to_endpoint = attempt->UnsentBytes();
+  }
   deps_.sessions.EndUsage(*session);  // Usage ends with the client's FIN.
-  session->HalfClose(Now() + kHalfClosedTimeout);
+  session->HalfClose(Now() + Forwarder::kAnswerTimeout);
   deps_.balancer.HandleEvent(ToClientDisconnected(session_id));
 }
 
@@ -249,7 +250,7 @@
 
 void SessionController::Migrate(SlotId session_id) {
   Session* session = deps_.sessions.Find(session_id);
-  if (session == nullptr || !session->IsEstablished()) return;
+  if (session == nullptr || !session->IsOpen()) return;
   ++deps_.counters.migrated;
   EndEstablished(*session, {AttemptEnd::kAbandoned, kMoveLine});
 }
@@ -433,6 +434,17 @@
       ToAttemptEnded(session_id, endpoint, final_end.end, RequestState::kFinished, {}));
 }
 
+bool SessionController::ExtendHalfClosed(Session& session) {
+  const TcpConnection* client = deps_.downstream.Find(session.client);
+  const TcpConnection* attempt = deps_.upstream.Find(session.attempt);
+  if (client == nullptr || attempt == nullptr) return false;
+  const std::size_t unsent = attempt->UnsentBytes();
+  const bool endpoint_reads = unsent < std::exchange(session.unsent_to_endpoint, unsent);
+  if (client->QueuedBytes() == 0 && !endpoint_reads) return false;
+  session.timer.Set(Now() + Forwarder::kAnswerTimeout);
+  return true;
+}
+
 void SessionController::OnSessionTimeout(SlotId session_id) {
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
@@ -443,7 +455,8 @@
       }
       return;
     case Session::State::kHalfClosed:
-      EndEstablished(*session, {});
+      // Its client may still wait for an answer.
+      if (!ExtendHalfClosed(*session)) EndEstablished(*session, {AttemptEnd::kAbandoned, kMoveLine});
       return;
     case Session::State::kClosing:
       FinishSession(*session, session->closing);
--- a/src/proxy/session_controller.h
+++ b/src/proxy/session_controller.h
@@ -50,7 +50,7 @@
   // Only stores the references.
   explicit SessionController(const Dependencies& deps) : deps_(deps) {}
 
-  // Migrates `count` of the established sessions, most recently answered first: their clients are furthest
+  // Migrates `count` of the open sessions, most recently answered first: their clients are furthest
   // from sending the next line.
   void MigrateIdle(std::size_t count);
   // For the end of a graceful shutdown: ends all sessions that are still closing at once, and migrates those
@@ -102,6 +102,8 @@
   void EndEstablished(Session& session, const SessionEnd& end);
   // Forwards what a closing session's sides have sent, and ends the session if nothing is left.
   void ContinueClosing(SlotId session_id);
+  // Gives a half-closed session more time, if one of its sides still takes what it is sent.
+  bool ExtendHalfClosed(Session& session);
   // Closes both connections, erases the session and reports the end to the balancer.
   void FinishSession(Session& session, const SessionEnd& end);
   // The index of the class called `name`; the number of classes if there is none.
--- a/src/proxy/session_table.cpp
+++ b/src/proxy/session_table.cpp
@@ -43,9 +43,9 @@
   sessions_.Erase(session.id);
 }
 
-std::size_t SessionTable::EstablishedCount() {
+std::size_t SessionTable::OpenCount() {
   std::size_t count = 0;
-  sessions_.ForEach([&](const Session& session) { count += session.IsEstablished() ? 1U : 0U; });
+  sessions_.ForEach([&](const Session& session) { count += session.IsOpen() ? 1U : 0U; });
   return count;
 }
 
@@ -84,7 +84,7 @@
 std::vector<drain::Candidate> SessionTable::MigrationCandidates() {
   std::vector<drain::Candidate> candidates;
   sessions_.ForEach([&](const Session& session) {
-    if (!session.IsEstablished()) return;
+    if (!session.IsOpen()) return;
     candidates.push_back({session.id.ToUint64(), session.unanswered_since.count() > 0, session.answered_at});
   });
   return candidates;
--- a/src/proxy/session_table.h
+++ b/src/proxy/session_table.h
@@ -49,8 +49,8 @@
 
   // The number of sessions in any state.
   std::size_t Size() const { return sessions_.Size(); }
-  // The number of sessions in kEstablished.
-  std::size_t EstablishedCount();
+  // The number of sessions in kEstablished and kHalfClosed.
+  std::size_t OpenCount();
   // The endpoints of the sessions' latest attempts.
   std::unordered_set<EndpointIndex> UsedEndpoints();
   // The ids of the sessions in kPending.
@@ -59,7 +59,7 @@
   std::vector<SlotId> EndingIds();
   // The ids of at most `count` established sessions that hold a reservation of `quota`.
   std::vector<SlotId> EstablishedUnderQuota(std::uint32_t quota, std::size_t count);
-  // All established sessions, as candidates for migration.
+  // The sessions in kEstablished and kHalfClosed, as candidates for migration.
   std::vector<drain::Candidate> MigrationCandidates();
 
  private:
--- a/tests/proxy/fleet_client_test.cpp
+++ b/tests/proxy/fleet_client_test.cpp
@@ -24,6 +24,7 @@
     wait 100
     a close
     s-1 expect-end
+    s-1 close
     wait 1000
   )");
   CHECK(fleet.begun == 2);
--- a/tests/proxy/session_end_test.cpp
+++ b/tests/proxy/session_end_test.cpp
@@ -68,6 +68,25 @@
   }
 }
 
+// A client that had finished sending was cut off 0.8 s later, without the answer of a slow endpoint
+// (review/6).
+TEST_CASE_METHOD(SingleEndpointFixture,
+                 "a client that has finished sending gets what its endpoint still sends") {
+  Play(kEstablishSession);
+  Play("a send M 1 last\na half\ns-1 expect M 1 last\ns-1 expect-end");
+  SECTION("late answers") {
+    Play("wait 3000\ns-1 send M 1 a\na expect M 1 a\nwait 3000\ns-1 send M 1 b\na expect M 1 b");
+    Play("s-1 send BYE\ns-1 close\na expect BYE\na expect-end");
+  }
+  SECTION("MOVE in a drain") {
+    const std::string drain = GENERATE("drain", "drain-call");
+    Play("s-1 raw M 1 a\n" + drain +
+         "\nwait 1000\ns-1 send b\na expect M 1 ab\nwait 1500\na expect MOVE\na expect-end");
+  }
+  SECTION("nothing is waited for after its reset") { Play("a reset\ns-1 send M 1 a\nwait 150"); }
+  CHECK(ProxyUnderTest().SessionCount() == 0);
+}
+
 // The client's lines were thrown away when the endpoint's end was read before them.
 TEST_CASE_METHOD(SingleEndpointFixture,
                  "an endpoint that finishes sending still gets all lines that lie unread") {
