--- a/bench/hostile_peers.py
+++ b/bench/hostile_peers.py
@@ -483,6 +483,8 @@
             break
         time.sleep(0.02)
     good.running = False
+    if good.is_alive():
+        good.join(3)  # The last answer must not be lost to the end of the run.
     died = relay.poll() is not None
     if not died:
         with open("/proc/%d/stat" % relay.pid, encoding="utf-8") as stat:
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -60,13 +60,11 @@
   }
   if (session.to_endpoint == LineBoundary::kReached) return;
   std::string_view input = client->input();
-  if (session.to_endpoint == LineBoundary::kAwaited)
-    input = input.substr(0, LineLength(input).value_or(input.size()));
+  const bool awaits_line_end = session.to_endpoint == LineBoundary::kAwaited;
+  if (awaits_line_end) input = input.substr(0, LineLength(input).value_or(input.size()));
   attempt->Write({input});
   session.client_is_within_line = input.back() != '\n';
-  if (session.to_endpoint == LineBoundary::kAwaited && !session.client_is_within_line) {
-    session.to_endpoint = LineBoundary::kReached;
-  }
+  if (awaits_line_end && !session.client_is_within_line) session.to_endpoint = LineBoundary::kReached;
   if (session.unanswered_since.count() == 0 && input.find('\n') != std::string_view::npos) {
     session.unanswered_since = loop_.Now();
     if (session.IsEstablished()) session.timer.Set(loop_.Now() + kAnswerTimeout);
