Count only listed endpoints towards the limit of the endpoint table

The limit is on listed endpoints, a complete update removes before it adds, and an unknown endpoint that is gone is not added at all. The number of listed endpoints is kept rather than counted for each call.

--- a/src/proxy/endpoint_table.cpp
+++ b/src/proxy/endpoint_table.cpp
@@ -7,22 +7,36 @@
 std::vector<EndpointIndex> EndpointTable::Apply(const EndpointUpdate& update) {
   ++updates_;
   std::vector<EndpointIndex> affected;
+  // First, as the endpoints that are gone leave room for others.
+  if (update.complete) affected = RemoveMissing(update);
   for (const Endpoint& endpoint : update.entries) {
-    const auto index = FindOrAdd(endpoint.id);
+    const auto index = FindOrAdd(endpoint);
     if (!index) continue;
     affected.push_back(*index);
     Entry& entry = entries_.at(*index);
     if (const auto address = Address::Parse(endpoint.address)) entry.address = address;
-    entry.state = endpoint.state;
-    entry.last_update = updates_;
+    SetState(entry, endpoint.state);
   }
-  if (!update.complete) return affected;
+  return affected;
+}
+
+std::vector<EndpointIndex> EndpointTable::RemoveMissing(const EndpointUpdate& complete) {
+  for (const Endpoint& endpoint : complete.entries) {
+    if (const auto index = Find(endpoint.id)) entries_.at(*index).last_complete_update = updates_;
+  }
+  std::vector<EndpointIndex> removed;
   for (auto& [index, entry] : entries_) {
-    if (entry.last_update == updates_) continue;
-    entry.state = EndpointState::kGone;
-    affected.push_back(index);
+    if (entry.last_complete_update == updates_) continue;
+    SetState(entry, EndpointState::kGone);
+    removed.push_back(index);
   }
-  return affected;
+  return removed;
+}
+
+void EndpointTable::SetState(Entry& entry, EndpointState state) {
+  if (entry.state != EndpointState::kGone) --listed_count_;
+  entry.state = state;
+  if (entry.state != EndpointState::kGone) ++listed_count_;
 }
 
 std::vector<EndpointIndex> EndpointTable::ForgetGone(const std::unordered_set<EndpointIndex>& used) {
@@ -45,23 +59,17 @@
 }
 
 const EndpointTable::Entry& EndpointTable::Get(EndpointIndex index) const {
-  static const Entry kForgotten{{}, std::nullopt, EndpointState::kGone, 0};
+  static const Entry kForgotten;
   const auto it = entries_.find(index);
   return it == entries_.end() ? kForgotten : it->second;
 }
 
-std::size_t EndpointTable::ListedCount() const {
-  return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto& entry) {
-    return entry.second.state != EndpointState::kGone;
-  }));
-}
-
-std::optional<EndpointIndex> EndpointTable::FindOrAdd(const std::string& id) {
-  if (const auto known = Find(id)) return known;
-  if (entries_.size() >= kMaxEndpoints) return std::nullopt;
+std::optional<EndpointIndex> EndpointTable::FindOrAdd(const Endpoint& endpoint) {
+  if (const auto known = Find(endpoint.id)) return known;
+  if (endpoint.state == EndpointState::kGone || listed_count_ >= kMaxEndpoints) return std::nullopt;
   const EndpointIndex index = next_index_++;
-  entries_[index].id = id;
-  indexes_[id] = index;
+  entries_[index].id = endpoint.id;
+  indexes_[endpoint.id] = index;
   return index;
 }
 
--- a/src/proxy/endpoint_table.h
+++ b/src/proxy/endpoint_table.h
@@ -28,12 +28,13 @@
   struct Entry {
     std::string id;
     std::optional<Address> address;  // nullopt until an update contains a valid one.
-    EndpointState state = EndpointState::kReady;
-    std::uint64_t last_update = 0;  // The number of that update.
+    EndpointState state = EndpointState::kGone;
+    std::uint64_t last_complete_update = 0;  // The number of the last complete update that included it.
   };
 
   // Applies the entries of `update`. A complete update marks all other endpoints as gone. Returns the
-  // endpoints that it included or marked. New endpoints beyond kMaxEndpoints are left out.
+  // endpoints that it included or marked. Leaves out unknown endpoints that are gone, and those that would be
+  // listed beyond kMaxEndpoints.
   std::vector<EndpointIndex> Apply(const EndpointUpdate& update);
 
   // Whether so many endpoints have been added that ForgetGone is due.
@@ -52,16 +53,20 @@
   // The number of endpoints in the table, listed or gone.
   std::size_t Size() const { return entries_.size(); }
   // The number of endpoints that are currently listed, ready or draining.
-  std::size_t ListedCount() const;
+  std::size_t ListedCount() const { return listed_count_; }
 
  private:
   static constexpr std::size_t kMinForgetAtSize = 128;
 
-  std::optional<EndpointIndex> FindOrAdd(const std::string& id);
+  // Marks the endpoints that a complete update does not include as gone, and returns all such endpoints.
+  std::vector<EndpointIndex> RemoveMissing(const EndpointUpdate& complete);
+  void SetState(Entry& entry, EndpointState state);
+  std::optional<EndpointIndex> FindOrAdd(const Endpoint& endpoint);
 
   std::map<EndpointIndex, Entry> entries_;
   std::unordered_map<std::string, EndpointIndex> indexes_;
   EndpointIndex next_index_ = 0;
+  std::size_t listed_count_ = 0;
   std::uint64_t updates_ = 0;
   std::size_t forget_at_size_ = kMinForgetAtSize;
 };
--- a/src/proxy/endpoint_updater.cpp
+++ b/src/proxy/endpoint_updater.cpp
@@ -23,7 +23,7 @@
       .Flag("changes", !update.complete)
       .Field("entries", update.entries.size());
   balancer_.HandleEvent(ToEndpointUpdate(update, source, upstream_.Endpoints(), loop_.clock, zone_names_));
-  if (upstream_.Endpoints().Size() >= kMaxEndpoints) LogLine(Level::kWarn, "endpoint table is full");
+  if (upstream_.Endpoints().ListedCount() >= kMaxEndpoints) LogLine(Level::kWarn, "endpoint table is full");
   if (upstream_.IsForgettingDue()) upstream_.ForgetGoneEndpoints(sessions_.UsedEndpoints());
 }
 
