One schedule for connections that linger, on both sides

Downstream and Upstream each had their own copy of how long a finished connection stays open, with the same 0.8 and 2.4 s, and they differed: a client was waited for as long as it read, an endpoint was cut off after 2.4 s with its last lines still queued. LingerSchedule serves both, and a client that is to be reset by its own limits in place of branches in four functions. A client's 'since' is again the time at which it entered its state.

'an endpoint gets the rest of its lines as long as it reads, and no longer' fails on the code before.

--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -11,15 +11,10 @@
 
 // The protocol requires an answer within 3 s of connecting, even without a request line.
 constexpr Micros kRequestLineTimeout = std::chrono::milliseconds(2000);
-// How long to wait for the client's FIN after this side has sent its own. The longer time applies while the
-// client still sends or has not read all output: closing a socket with unread bytes sends a reset, which may
-// overtake the answer.
-constexpr Micros kEndTimeout = std::chrono::milliseconds(800);
-constexpr Micros kDiscardTimeout = std::chrono::milliseconds(2400);
-// How often it is checked whether a client that is to be reset has been sent everything.
-constexpr Micros kUnsentCheckInterval = std::chrono::milliseconds(20);
+// For a client that is to be reset once it has been sent everything.
+constexpr LingerSchedule::Limits kResetLinger{std::chrono::milliseconds(20), std::chrono::milliseconds(800)};
 // The maximum number of bytes read and discarded from a client that has been answered: as much as one core
-// reads within kDiscardTimeout. A client that sends more may lose its answer to a reset.
+// reads within kFinishLinger. A client that sends more may lose its answer to a reset.
 constexpr std::size_t kMaxDiscarded = std::size_t{96} * 1024 * 1024;
 // A client waits for the answer to its request before it sends more. What it sends early is kept, because its
 // end lies behind it, within these limits: of one client, and of all clients together.
@@ -186,14 +181,15 @@
   client->end_mode = mode;
   if (!last_line.empty()) client->tcp.Write({last_line});
   if (mode == EndMode::kFinish) client->tcp.Finish();
-  client->unsent_bytes = client->tcp.UnsentBytes();
+  const std::size_t unsent = client->tcp.UnsentBytes();
   const bool both_finished = client->tcp.PeerFinished() && client->tcp.QueuedBytes() == 0;
-  if (mode == EndMode::kReset ? client->unsent_bytes == 0 : both_finished) {
+  if (mode == EndMode::kReset ? unsent == 0 : both_finished) {
     CloseEnding(*client);
     return;
   }
   client->tcp.DiscardInput();
-  client->timer.Set(loop_.Now() + (mode == EndMode::kReset ? kUnsentCheckInterval : kEndTimeout));
+  const LingerSchedule::Limits& limits = mode == EndMode::kReset ? kResetLinger : kFinishLinger;
+  client->timer.Set(client->linger.Begin(loop_.Now(), unsent, limits));
 }
 
 void Downstream::CloseEnding(Client& client) {
@@ -310,20 +306,11 @@
     RejectMalformed(*client, "request line timed out");
     return;
   }
-  if (KeepEnding(*client)) return;
-  CloseEnding(*client);
-}
-
-// Gives a client that reads slowly more time for what is left of its lines, as long as it takes some of them.
-bool Downstream::KeepEnding(Client& client) {
-  const std::size_t unsent = client.tcp.UnsentBytes();
-  if (unsent == 0) return false;
-  if (unsent < std::exchange(client.unsent_bytes, unsent)) client.since = loop_.Now();
-  const Micros limit = client.since + (client.end_mode == EndMode::kReset ? kEndTimeout : kDiscardTimeout);
-  if (loop_.Now() >= limit) return false;
-  const Micros next = client.end_mode == EndMode::kReset ? kUnsentCheckInterval : kEndTimeout;
-  client.timer.Set(std::min(limit, loop_.Now() + next));
-  return true;
+  if (const auto next = client->linger.Check(loop_.Now(), client->tcp.UnsentBytes())) {
+    client->timer.Set(*next);
+  } else {
+    CloseEnding(*client);
+  }
 }
 
 void Downstream::OnData(SlotId id) {
@@ -331,12 +318,10 @@
   if (client == nullptr) return;
   if (client->state == State::kAwaitingRequest) {
     ReadRequestLines(*client);
+  } else if (client->state == State::kInSession && client->request_line_size > 0) {
+    ReadEarlyInput(*client);
   } else if (client->state == State::kInSession) {
-    if (client->request_line_size > 0) {
-      ReadEarlyInput(*client);
-    } else {
-      events_.OnClientBytes(client->owner);
-    }
+    events_.OnClientBytes(client->owner);
   }
 }
 
@@ -348,8 +333,7 @@
     client->tcp.SetReading(false);
     return;
   }
-  if (client->end_mode == EndMode::kReset) return;
-  client->timer.Set(std::min(client->since + kDiscardTimeout, loop_.Now() + kEndTimeout));
+  client->timer.Set(client->linger.NextCheck(loop_.Now()));
 }
 
 // In the session of a client that sends too much before its answer, nothing more is sent to an endpoint: the
--- a/src/proxy/downstream.h
+++ b/src/proxy/downstream.h
@@ -14,6 +14,7 @@
 
 #include "base/counters.h"
 #include "base/event_loop.h"
+#include "base/linger_schedule.h"
 #include "base/log.h"
 #include "base/slot_map.h"
 #include "base/tcp_connection.h"
@@ -119,7 +120,7 @@
     std::string early_input;                 // What came after an unanswered request and left the input.
     std::size_t discarded_bytes = 0;
     EndMode end_mode = EndMode::kFinish;  // Valid in kEnding.
-    std::size_t unsent_bytes = 0;         // In kEnding: at the last look.
+    LingerSchedule linger;                // Valid in kEnding.
   };
 
   void OnAccepted(UniqueFd socket) override;
@@ -143,8 +144,6 @@
   bool StoreEarlyInput(Client& client);
   void DropEarlyInput(Client& client);
   void Erase(Client& client);
-  // Whether an ending client is to be kept open for longer; sets its timer if so.
-  bool KeepEnding(Client& client);
   // Closes or resets an ending client's connection.
   void CloseEnding(Client& client);
 
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -23,9 +23,6 @@
 // and the few other descriptors of the process must fit into those that Downstream reserves for non-client
 // use.
 constexpr std::size_t kMaxIdleProbeConnections = 32;
-// How long a connection lingers for the endpoint's close once all has been sent, and until then.
-constexpr Micros kLingerTimeout = std::chrono::milliseconds(800);
-constexpr Micros kUnsentTimeout = std::chrono::milliseconds(2400);
 constexpr Micros kNextTurnDelay = Micros(1);  // The timer fires in the next turn of the event loop.
 constexpr std::string_view kProbeLine = "STATS\r\n";
 
@@ -129,16 +126,14 @@
   }
   connection->state = State::kLingering;
   connection->owner = {};
-  connection->finished_at = loop_.Now();
   connection->position = lingering_.insert(lingering_.end(), attempt);
-  connection->timer.Set(loop_.Now() + kLingerTimeout);
+  connection->timer.Set(connection->linger.Begin(loop_.Now(), tcp.UnsentBytes(), kFinishLinger));
   tcp.DiscardInput();
 }
 
-void Upstream::OnLingerTimeout(Connection& connection) {
-  const Micros limit = connection.finished_at + kUnsentTimeout;
-  if (connection.tcp.UnsentBytes() > 0 && loop_.Now() < limit) {
-    connection.timer.Set(std::min(limit, loop_.Now() + kLingerTimeout));
+void Upstream::CheckLingering(Connection& connection) {
+  if (const auto next = connection.linger.Check(loop_.Now(), connection.tcp.UnsentBytes())) {
+    connection.timer.Set(*next);
   } else {
     Close(connection.id);
   }
@@ -338,7 +333,7 @@
   if (connection->IsProbe()) {
     FailProbe(*connection, {});
   } else if (connection->state == State::kLingering) {
-    OnLingerTimeout(*connection);
+    CheckLingering(*connection);
   } else if (connection->state == State::kPending) {
     // A request that was not written completely has not run, whatever the reason of the time-out.
     const AttemptEnd unsent_end = WriteObstacle(*connection, loop_.Now()).value_or(AttemptEnd::kNotConnected);
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -17,6 +17,7 @@
 
 #include "base/counters.h"
 #include "base/event_loop.h"
+#include "base/linger_schedule.h"
 #include "base/slot_map.h"
 #include "base/tcp_connection.h"
 #include "endpoint/endpoint_update.h"
@@ -104,8 +105,8 @@
   // The same as Close, with a TCP reset.
   void Reset(SlotId attempt);
   // The same as Close, but the endpoint is sent all that was written to it, and the end (FIN) after it. What
-  // it still sends is discarded. The connection lingers until the endpoint has closed too, or for a limited
-  // time.
+  // it still sends is discarded. The connection lingers until the endpoint has closed too, or as
+  // LingerSchedule allows.
   void Finish(SlotId attempt);
   // The number of connections that linger after Finish.
   std::size_t LingeringCount() const { return lingering_.size(); }
@@ -149,7 +150,7 @@
     Micros deadline{0};
     bool sent = false;      // The whole request line, or the probe's line, was written to the socket.
     bool reused = false;    // An idle probe connection that is used again.
-    Micros finished_at{0};  // When it began to linger.
+    LingerSchedule linger;  // Valid in kLingering.
     std::list<SlotId>::iterator position{};  // In lingering_, if it lingers.
   };
   // Runs StopSending for a draining endpoint in the next turn, when the balancer knows of the drain too.
@@ -177,7 +178,8 @@
   void SendRequest(SlotId id);
   void OnSent(Connection& connection);
   void OnTimeout(SlotId id);
-  void OnLingerTimeout(Connection& connection);
+  // Closes a lingering connection, unless its schedule has another check.
+  void CheckLingering(Connection& connection);
   void EndAttempt(Connection& attempt, AttemptEnd end, std::string_view line);
   void CountAttemptEnd(AttemptEnd end);
   void FailProbe(Connection& probe, std::string_view report);
--- a/tests/proxy/session_end_test.cpp
+++ b/tests/proxy/session_end_test.cpp
@@ -1,9 +1,12 @@
 // What either side has sent before a session ends or is migrated reaches the other side, whoever ends it and
 // wherever it lies: unread in a socket, held back behind a full buffer, or in pieces.
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "proxy/loopback_fixture.h"
+#include "proxy/upstream_fixture.h"
 
 namespace stoatrun {
 namespace {
@@ -112,5 +115,55 @@
   Play("a expect-moved");
 }
 
+// An Upstream that has finished an established attempt with 8 MB of output.
+struct FinishedAttempt : IgnoringEvents {
+  FinishedAttempt() {
+    upstream.ApplyUpdate({1, true, {{.id = "s-1", .address = endpoint.address, .locality = ""}}});
+    const SlotId attempt = upstream.Open({}, 0, {"OPEN 1 k d=", "", true, std::chrono::seconds(1)});
+    while (!peer.socket) {
+      loop.Poll();
+      peer.socket = NonBlocking(endpoint.Accept());
+    }
+    peer.Send("UP r1\r\n");
+    Turns();
+    upstream.Find(attempt)->Write({std::string(kOutputSize, 'x')});
+    upstream.Finish(attempt);
+  }
+  void Turns() {
+    for (int k = 0; k < 20; ++k) loop.Poll();
+  }
+  // The endpoint reads `size` bytes, and the clock advances.
+  void Step(std::size_t size, Micros duration) {
+    peer.ReadAtMost(size);
+    loop.clock.Advance(duration);
+    Turns();
+  }
+  static constexpr std::size_t kOutputSize = std::size_t{8} << 20;
+
+  ListeningSocket endpoint;
+  LoopbackPeer peer;
+  EventLoop loop{Clock::Mode::kManual};
+  Counters counters;
+  Upstream upstream{loop, *this, counters, {}};
+};
+
+// An endpoint that read slowly was cut off 2.4 s after its client's migration, though not its client.
+TEST_CASE_METHOD(FinishedAttempt,
+                 "an endpoint gets the rest of its lines as long as it reads, and no longer") {
+  constexpr Micros kPause = std::chrono::milliseconds(700);
+  constexpr std::size_t kPart = std::size_t{512} << 10;
+  SECTION("it reads") {
+    for (int k = 0; k < 10; ++k) Step(kPart, kPause);
+    CHECK(upstream.HasUnsentOutput());
+    while (!peer.ended) Step(kOutputSize, Micros(1));
+    CHECK(peer.input.ends_with(std::string(kOutputSize, 'x')));
+    CHECK_FALSE(peer.reset);
+  }
+  SECTION("it reads nothing") {
+    for (int k = 0; k < 5; ++k) Step(0, kPause);
+    CHECK(upstream.LingeringCount() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace stoatrun
