--- a/bench/hostile_peers.py
+++ b/bench/hostile_peers.py
@@ -227,7 +227,7 @@
         pass
 
 
-def one_shot(port, seconds, request):
+def one_shot(port, seconds, request, awaits_answer=True):
     """A new connection for each request, at full speed."""
     end, number = time.monotonic() + seconds, 0
     while time.monotonic() < end:
@@ -235,7 +235,8 @@
         try:
             connection = connect(port)
             connection.sendall(request(number))
-            connection.recv(4096)
+            if awaits_answer:
+                connection.recv(4096)
             connection.close()
         except OSError:
             pass
@@ -310,7 +311,8 @@
     "b-clients-bad": lambda p: one_shot(p.clients, p.seconds, lambda n: b"OPEN %d ? c\r\n" % n),
     "b-clients-bad-one": lambda p: flood(p.clients, p.seconds, lambda n: b"", lambda n: b"OPEN bad\r\n" * 3000),
     "b-clients-names": lambda p: one_shot(p.clients, p.seconds, lambda n: b"OPEN i%d k%d c=chat,d=2000,t=t%d,g=g%d\r\n" % (n, n, n, n)),
-    "b-at-names": lambda p: one_shot_leaving(p.clients, p.seconds, lambda n: b"OPEN i%d k c=chat,d=2000,at=n%d\r\n" % (n, n)),
+    "b-at-names": lambda p: one_shot(
+        p.clients, p.seconds, lambda n: b"OPEN i%d k c=chat,d=2000,at=n%d\r\n" % (n, n), awaits_answer=False),
     "b-admin-requests": lambda p: one_shot(p.admin, p.seconds, lambda n: b"GET /v1/metrics HTTP/1.1\r\n\r\n"),
     "b-admin-bad": lambda p: one_shot(p.admin, p.seconds, lambda n: b"BAD%d\r\n\r\n" % n),
     "b-admin-one": lambda p: flood(p.admin, p.seconds, lambda n: b"", lambda n: b"GET /v1/metrics HTTP/1.1\r\n\r\n" * 500),
@@ -326,20 +328,6 @@
                                       "b-discovery-ids", "b-discovery-lines", "b-discovery-bad")})
 
 
-def one_shot_leaving(port, seconds, request):
-    """The same as one_shot, without waiting for an answer."""
-    end, number = time.monotonic() + seconds, 0
-    while time.monotonic() < end:
-        number += 1
-        try:
-            connection = connect(port)
-            connection.sendall(request(number))
-            connection.close()
-        except OSError:
-            pass
-    print("hostile: %d requests" % number, flush=True)
-
-
 # ---- well-behaved clients ----
 
 class GoodClients(threading.Thread):
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -48,12 +48,12 @@
     }
     if (update.kind != EndpointUpdate::Kind::kCached) watch_due_ = Micros(0);
     endpoints_.Apply(update);
-    if (endpoints_.IsForgettingDue()) ForgetRemovedEndpoints();
+    if (endpoints_.IsSweepDue()) EraseRemovedEndpoints();
     if (std::exchange(started_, true)) return;
     if (context_.settings.list_mode == ListMode::kSubscribed) Watch();
     Schedule(context_.random.Jittered(kTickInterval, 0.0, 1.0), [this] { Tick(); });
   }
-  void ForgetRemovedEndpoints() {
+  void EraseRemovedEndpoints() {
     std::unordered_set<const EndpointRecord*> used;
     placement_.CollectEndpoints(used);
     requests_.ForEach([&](const Request& request) {
@@ -61,7 +61,7 @@
       used.insert(request.tried_endpoints.begin(), request.tried_endpoints.end());
       used.insert(request.pending_probes.begin(), request.pending_probes.end());
     });
-    endpoints_.ForgetRemoved(used);
+    endpoints_.EraseRemoved(used);
   }
   void Watch() {
     Emit(WatchEndpoints{});
--- a/src/balancer/endpoint_table.h
+++ b/src/balancer/endpoint_table.h
@@ -6,6 +6,7 @@
 
 #include "balancer/slow_start.h"
 #include "base/stable_table.h"
+#include "base/sweep_threshold.h"
 
 namespace balancer {
 
@@ -27,9 +28,6 @@
 constexpr Micros kBaseEjectionTime = std::chrono::milliseconds(500);
 constexpr int kMaxEjectionDoublings = 4;
 
-// Removed endpoints are forgotten at the earliest with so many endpoints.
-constexpr std::size_t kMinForgetAtSize = 128;
-
 enum class FailureSource { kProbe, kAttempt };
 
 // The failures of one endpoint and its ejection.
@@ -100,9 +98,9 @@
  public:
   explicit EndpointTable(Context& context) : context_(context) {}
 
-  // Null if the endpoint was never listed, or was removed and forgotten.
+  // Null if the endpoint was never listed, or was removed and its record erased.
   EndpointRecord* Find(EndpointId id) { return records_.Find(id); }
-  // Includes removed endpoints that are not forgotten.
+  // Includes removed endpoints whose records are not erased.
   const std::vector<EndpointRecord*>& All() const { return all_; }
   const std::vector<EndpointRecord*>& Ready() const { return ready_.Items(); }
   SlowStartPolicy& GetSlowStartPolicy() { return slow_start_policy_; }
@@ -128,21 +126,17 @@
     }
   }
 
-  // Whether so many endpoints have been added that ForgetRemoved is due.
-  bool IsForgettingDue() const { return all_.size() >= forget_at_size_; }
+  // Whether so many endpoints have been added that EraseRemoved is due.
+  bool IsSweepDue() const { return sweep_threshold_.IsReached(all_.size()); }
   // Erases the records of removed endpoints, except those in `used`.
-  void ForgetRemoved(const std::unordered_set<const EndpointRecord*>& used) {
-    std::vector<EndpointRecord*> kept;
-    for (EndpointRecord* endpoint : all_) {
+  void EraseRemoved(const std::unordered_set<const EndpointRecord*>& used) {
+    std::erase_if(all_, [&](const EndpointRecord* endpoint) {
       const bool is_removed = endpoint->info.state == EndpointState::kRemoved && !endpoint->probe_in_flight;
-      if (is_removed && !used.contains(endpoint)) {
-        records_.Erase(endpoint->info.id);
-      } else {
-        kept.push_back(endpoint);
-      }
-    }
-    all_ = std::move(kept);
-    forget_at_size_ = std::max(kMinForgetAtSize, 2 * all_.size());
+      const bool is_unused = is_removed && !used.contains(endpoint);
+      if (is_unused) records_.Erase(endpoint->info.id);
+      return is_unused;
+    });
+    sweep_threshold_.Update(all_.size());
   }
 
   bool HasMoreReplicasThanEndpoints() const { return context_.settings.replicas > ready_.size(); }
@@ -274,7 +268,7 @@
   stoatrun::StableTable<EndpointId, EndpointRecord> records_;
   std::vector<EndpointRecord*> all_;  // In the order in which they were first listed.
   stoatrun::DenseSet<EndpointRecord, &EndpointRecord::ready_index> ready_;
-  std::size_t forget_at_size_ = kMinForgetAtSize;
+  stoatrun::SweepThreshold sweep_threshold_;
   std::uint64_t updates_ = 0;
   double utilization_sum_ = 0;             // Of the sampled endpoints, each capped at kMaxUtilizationInMean.
   int sampled_count_ = 0;                  // Endpoints in utilization_sum_.
--- a/src/proxy/endpoint_table.cpp
+++ b/src/proxy/endpoint_table.cpp
@@ -39,18 +39,18 @@
   if (entry.state != EndpointState::kGone) ++listed_count_;
 }
 
-std::vector<EndpointIndex> EndpointTable::ForgetGone(const std::unordered_set<EndpointIndex>& used) {
-  std::vector<EndpointIndex> forgotten;
+std::vector<EndpointIndex> EndpointTable::EraseRemoved(const std::unordered_set<EndpointIndex>& used) {
+  std::vector<EndpointIndex> erased;
   for (const auto& [index, entry] : entries_) {
-    if (entry.state == EndpointState::kGone && !used.contains(index)) forgotten.push_back(index);
+    if (entry.state == EndpointState::kGone && !used.contains(index)) erased.push_back(index);
   }
-  for (const EndpointIndex index : forgotten) {
+  for (const EndpointIndex index : erased) {
     const auto entry = entries_.find(index);
     indexes_.erase(entry->second.id);
     entries_.erase(entry);
   }
-  forget_at_size_ = std::max(kMinForgetAtSize, 2 * entries_.size());
-  return forgotten;
+  sweep_threshold_.Update(entries_.size());
+  return erased;
 }
 
 std::optional<EndpointIndex> EndpointTable::Find(const std::string& id) const {
@@ -59,9 +59,9 @@
 }
 
 const EndpointTable::Entry& EndpointTable::Get(EndpointIndex index) const {
-  static const Entry kForgotten;
+  static const Entry kErased;
   const auto it = entries_.find(index);
-  return it == entries_.end() ? kForgotten : it->second;
+  return it == entries_.end() ? kErased : it->second;
 }
 
 std::optional<EndpointIndex> EndpointTable::FindOrAdd(const Endpoint& endpoint) {
--- a/src/proxy/endpoint_table.h
+++ b/src/proxy/endpoint_table.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/sweep_threshold.h"
 #include "base/tcp_connection.h"
 #include "endpoint/endpoint_update.h"
 
@@ -37,10 +38,10 @@
   // listed beyond kMaxEndpoints.
   std::vector<EndpointIndex> Apply(const EndpointUpdate& update);
 
-  // Whether so many endpoints have been added that ForgetGone is due.
-  bool IsForgettingDue() const { return entries_.size() >= forget_at_size_; }
+  // Whether so many endpoints have been added that EraseRemoved is due.
+  bool IsSweepDue() const { return sweep_threshold_.IsReached(entries_.size()); }
   // Removes the endpoints that are gone, except those in `used`. Returns their indexes.
-  std::vector<EndpointIndex> ForgetGone(const std::unordered_set<EndpointIndex>& used);
+  std::vector<EndpointIndex> EraseRemoved(const std::unordered_set<EndpointIndex>& used);
 
   // The index of `id`; nullopt if it is not in the table.
   std::optional<EndpointIndex> Find(const std::string& id) const;
@@ -56,8 +57,6 @@
   std::size_t ListedCount() const { return listed_count_; }
 
  private:
-  static constexpr std::size_t kMinForgetAtSize = 128;
-
   // Marks the endpoints that a complete update does not include as gone, and returns all such endpoints.
   std::vector<EndpointIndex> RemoveMissing(const EndpointUpdate& complete);
   void SetState(Entry& entry, EndpointState state);
@@ -68,7 +67,7 @@
   EndpointIndex next_index_ = 0;
   std::size_t listed_count_ = 0;
   std::uint64_t updates_ = 0;
-  std::size_t forget_at_size_ = kMinForgetAtSize;
+  SweepThreshold sweep_threshold_;
 };
 
 }  // namespace stoatrun
--- a/src/proxy/endpoint_updater.cpp
+++ b/src/proxy/endpoint_updater.cpp
@@ -24,7 +24,7 @@
       .Field("entries", update.entries.size());
   balancer_.HandleEvent(ToEndpointUpdate(update, source, upstream_.Endpoints(), loop_.clock, zone_names_));
   if (upstream_.Endpoints().ListedCount() >= kMaxEndpoints) LogLine(Level::kWarn, "endpoint table is full");
-  if (upstream_.IsForgettingDue()) upstream_.ForgetGoneEndpoints(sessions_.UsedEndpoints());
+  if (upstream_.IsSweepDue()) upstream_.EraseRemovedEndpoints(sessions_.UsedEndpoints());
 }
 
 void EndpointUpdater::OnEndpointUpdate(const EndpointUpdate& update) {
--- a/src/proxy/endpoint_updater.h
+++ b/src/proxy/endpoint_updater.h
@@ -25,7 +25,7 @@
   EndpointUpdater(EventLoop& loop, const SiteSettings& site, Upstream& upstream, FleetQuotaGuard& fleet,
                   BalancerDriver& balancer, SessionTable& sessions);
 
-  // Applies an update to the endpoint table, then to the fleet, and finally to the balancer. Forgets
+  // Applies an update to the endpoint table, then to the fleet, and finally to the balancer. Erases
   // endpoints that have been gone when there are many.
   void Apply(const EndpointUpdate& update, EndpointSource source);
 
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -138,13 +138,10 @@
     if (endpoint_has_ended) ForwardToClient(session_id, Extent::kEverything);
     return true;
   }
-  const bool is_held_back = client->QueuedBytes() > TcpConnection::kHighWatermark;
   if (attempt->input().empty()) return true;
+  const bool is_held_back = client->QueuedBytes() > TcpConnection::kHighWatermark;
   if (is_held_back) return false;
-  if (endpoint_has_ended) {
-    ForwardToClient(session_id, Extent::kCompleteLines);
-    return true;
-  }
+  if (endpoint_has_ended) return true;  // Only a part of a line is left.
   session->to_client = LineBoundary::kAwaited;
   return false;
 }
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -31,12 +31,14 @@
 }  // namespace
 
 GracefulShutdown::GracefulShutdown(EventLoop& loop, Micros max_deadline, SessionTable& sessions,
-                                   Downstream& downstream, SessionController& controller)
+                                   Downstream& downstream, SessionController& controller,
+                                   SessionCloser& closer)
     : loop_(loop),
       max_deadline_(max_deadline),
       sessions_(sessions),
       downstream_(downstream),
       controller_(controller),
+      closer_(closer),
       timer_(loop.timers, [this] { Step(); }) {}
 
 bool GracefulShutdown::Begin() {
@@ -64,11 +66,11 @@
   if (phase_ == Phase::kMigrating) MigrateStep(EndTime() - kMigrationEndMargin - loop_.Now());
   if (is_ending) {  // Requests that are not answered now would get no answer before the process exits.
     for (const SlotId session : pending) controller_.Fail(session);
-    controller_.FinishClosingSessions();
+    closer_.FinishAll();
   }
   downstream_.EndIdle(!is_ending && sessions_.Size() > 0);
   const bool all_clients_ended = phase_ == Phase::kMigrating && sessions_.Size() == 0 &&
-                                 !downstream_.HasPendingClients() && !controller_.HasUnsentOutput();
+                                 !downstream_.HasPendingClients() && !closer_.HasUnsentOutput();
   if (all_clients_ended || loop_.Now() >= EndTime()) {
     LogLine(Level::kInfo, "drained,").Field("left", sessions_.Size());
     loop_.Stop();
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -27,7 +27,7 @@
   // `max_deadline`: the longest deadline of any client request. The shutdown may take slightly longer. All
   // references must outlive the object.
   GracefulShutdown(EventLoop& loop, Micros max_deadline, SessionTable& sessions, Downstream& downstream,
-                   SessionController& controller);
+                   SessionController& controller, SessionCloser& closer);
 
   // Begins the shutdown, in the next turn of the event loop. False: it has already begun.
   bool Begin();
@@ -46,6 +46,7 @@
   SessionTable& sessions_;
   Downstream& downstream_;
   SessionController& controller_;
+  SessionCloser& closer_;
   Phase phase_ = Phase::kServing;
   Micros started_at_{0};
   double migration_carry_ = 0;  // Part of a migration carried over to the next step: see drain::EvenShare.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -19,7 +19,7 @@
       sent_ids_(sent_ids),
       sessions_(loop, meter, fleet, sent_ids_),
       controller_({loop, config_.settings, counters_, sessions_, downstream_, upstream_, discovery_,
-                   balancer_, fleet_, resumption_, forwarder_}),
+                   balancer_, fleet_, resumption_, forwarder_, closer_}),
       balancer_(loop, config.settings.balancer, controller_),
       upstream_(loop, controller_, counters_, UpstreamTimeouts(config.settings)),
       fleet_(loop, fleet, config.settings.balancer.slow_start_duration, upstream_.Endpoints(), sessions_,
@@ -27,6 +27,7 @@
       resumption_(loop, upstream_),
       latency_reporter_(loop, config.settings.balancer, upstream_.Endpoints(), balancer_),
       forwarder_(loop, sessions_, downstream_, upstream_, balancer_, latency_reporter_),
+      closer_(loop, sessions_, downstream_, upstream_, balancer_, forwarder_),
       endpoint_updater_(loop, config.settings, upstream_, fleet_, balancer_, sessions_),
       discovery_(loop, endpoint_updater_, counters_, config.discovery, config.discovery_text,
                  config.cached_endpoints.revision,
@@ -35,7 +36,7 @@
                   pushed_ ? ListSource::kLocalAgent : ListSource::kSharedService}),
       downstream_(loop, controller_, counters_, DescriptorLimit(config)),
       operator_drain_(loop, counters_, sessions_, downstream_, controller_),
-      shutdown_(loop, config.settings.max_deadline, sessions_, downstream_, controller_) {
+      shutdown_(loop, config.settings.max_deadline, sessions_, downstream_, controller_, closer_) {
   counters_.classes.resize(config_.settings.class_names.size());
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -26,6 +26,7 @@
 #include "proxy/message_latency_reporter.h"
 #include "proxy/operator_drain.h"
 #include "proxy/sent_request_ids.h"
+#include "proxy/session_closer.h"
 #include "proxy/session_controller.h"
 #include "proxy/session_resumption.h"
 #include "proxy/session_table.h"
@@ -94,6 +95,7 @@
   SessionResumption resumption_;
   MessageLatencyReporter latency_reporter_;
   Forwarder forwarder_;
+  SessionCloser closer_;
   EndpointUpdater endpoint_updater_;
   DiscoveryClient discovery_;
   Downstream downstream_;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -34,6 +34,11 @@
   EndMode client_end = EndMode::kFinish;    // How the client's connection ends.
 };
 
+// The line that tells a client to connect again.
+inline constexpr std::string_view kMoveLine = "MOVE\r\n";
+// The end of a session whose client the proxy migrates.
+inline constexpr SessionEnd kMigrationEnd{AttemptEnd::kAbandoned, kMoveLine};
+
 // A closing session forwards no line in part: if one side has sent only a part, the rest of it is awaited.
 enum class LineBoundary : std::uint8_t { kNotAwaited, kAwaited, kReached };
 
@@ -77,8 +82,7 @@
   // Whether the client asked to resume a connection at the endpoint that already has it.
   bool IsResumed() const { return !resume_endpoint.empty(); }
 
-  // Whether the session waits for the rest of incomplete lines before it ends: only if neither side has
-  // ended.
+  // Whether the session is closing and waits for the rest of incomplete lines: only if MOVE follows.
   bool AwaitsLineEnds() const { return !closing.last_line.empty(); }
 
   // kPending -> kEstablished: the endpoint accepted the request at `now`.
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -18,13 +18,10 @@
 // A client's timeout starts when it sends its request line. This allowance covers the transit of the line and
 // of the answer.
 constexpr Micros kTransitAllowance = milliseconds(4);
-// How long an ending session still forwards what its sides sent before, if one of them does not take it or
-// sends a line in pieces. An endpoint's end must be passed on within 1 s.
-constexpr Micros kClosingTimeout = milliseconds(800);
 // It is not known when quota becomes available, but it is likely to be soon, as other connections end.
 constexpr Micros kQuotaRetryAfter = std::chrono::seconds(1);
 
-constexpr std::string_view kErrorLine = "ERR\r\n", kMoveLine = "MOVE\r\n";
+constexpr std::string_view kErrorLine = "ERR\r\n";
 
 }  // namespace
 
@@ -101,12 +98,12 @@
   Session* session = deps_.sessions.Find(session_id);
   // Bytes that a client sends before its request is answered stay in its bounded input buffer.
   if (session != nullptr && !session->IsPending()) deps_.forwarder.ForwardToEndpoint(*session);
-  ContinueClosing(session_id);
+  deps_.closer.Continue(session_id);
 }
 
 void SessionController::OnClientWritable(SlotId session_id) {
   deps_.forwarder.OnClientWritable(session_id);
-  ContinueClosing(session_id);
+  deps_.closer.Continue(session_id);
 }
 
 void SessionController::OnClientEnd(SlotId session_id, ConnectionEnd end) {
@@ -124,7 +121,7 @@
     return;
   }
   if (!is_first_end) {
-    ContinueClosing(session_id);
+    deps_.closer.Continue(session_id);
     return;
   }
   if (TcpConnection* attempt = deps_.upstream.Find(session->attempt)) {
@@ -163,7 +160,7 @@
   deps_.upstream.Reset(session.attempt);
   deps_.downstream.Reset(session.client);
   if (session.IsEstablished()) deps_.balancer.HandleEvent(ToClientDisconnected(session_id));
-  if (Session* remaining = deps_.sessions.Find(session_id)) FinishSession(*remaining, {});
+  if (Session* remaining = deps_.sessions.Find(session_id)) deps_.closer.Finish(*remaining, {});
 }
 
 // ---- the balancer's actions ----
@@ -252,16 +249,7 @@
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr || !session->IsOpen()) return;
   ++deps_.counters.migrated;
-  EndEstablished(*session, {AttemptEnd::kAbandoned, kMoveLine});
-}
-
-void SessionController::FinishClosingSessions() {
-  for (const SlotId session_id : deps_.sessions.EndingIds()) {
-    Session* session = deps_.sessions.Find(session_id);
-    if (session == nullptr) continue;
-    const bool is_closing = session->CurrentState() == Session::State::kClosing;
-    FinishSession(*session, is_closing ? session->closing : SessionEnd{AttemptEnd::kAbandoned, kMoveLine});
-  }
+  deps_.closer.Close(*session, kMigrationEnd);
 }
 
 void SessionController::MigrateIdle(std::size_t count) {
@@ -357,21 +345,21 @@
 
 void SessionController::OnAttemptBytes(SlotId session_id) {
   deps_.forwarder.ForwardToClient(session_id, Forwarder::Extent::kCompleteLines);
-  ContinueClosing(session_id);
+  deps_.closer.Continue(session_id);
 }
 
 void SessionController::OnAttemptWritable(SlotId session_id) {
   deps_.forwarder.OnEndpointWritable(session_id);
-  ContinueClosing(session_id);
+  deps_.closer.Continue(session_id);
 }
 
 void SessionController::OnAttemptFinished(SlotId session_id, ConnectionEnd end) {
   Session* session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
   // MOVE can't follow a part of a line.
-  const bool will_move = session->CurrentState() == Session::State::kClosing && session->AwaitsLineEnds();
+  const bool will_migrate = session->AwaitsLineEnds();
   deps_.forwarder.ForwardToClient(
-      session_id, will_move ? Forwarder::Extent::kCompleteLines : Forwarder::Extent::kEverything);
+      session_id, will_migrate ? Forwarder::Extent::kCompleteLines : Forwarder::Extent::kEverything);
   session = deps_.sessions.Find(session_id);
   if (session == nullptr) return;
   AttemptEnd attempt_end = session->announced_end;
@@ -380,7 +368,7 @@
   if (session->CurrentState() == Session::State::kClosing) {
     // The endpoint has told the client of its end before the proxy could.
     if (attempt_end != AttemptEnd::kBroken) session->closing = {attempt_end, {}, EndMode::kFinish};
-    ContinueClosing(session_id);
+    deps_.closer.Continue(session_id);
     return;
   }
   const bool client_left = session->CurrentState() == Session::State::kHalfClosed;
@@ -392,7 +380,7 @@
         .Field("endpoint", deps_.upstream.Endpoints().IdOf(session->endpoint));
     if (end == ConnectionEnd::kReset) client_end = EndMode::kReset;
   }
-  EndEstablished(*session, {attempt_end, {}, client_end});
+  deps_.closer.Close(*session, {attempt_end, {}, client_end});
 }
 
 void SessionController::OnProbeCompleted(EndpointIndex endpoint, bool succeeded, std::string_view report) {
@@ -403,47 +391,7 @@
   deps_.balancer.HandleEvent(ToProbeCompleted(endpoint, succeeded, report));
 }
 
-// ---- end of established sessions ----
-
-void SessionController::EndEstablished(Session& session, const SessionEnd& end) {
-  const SlotId session_id = session.id;
-  session.BeginClosing(end, Now() + kClosingTimeout);
-  ContinueClosing(session_id);
-}
-
-void SessionController::ContinueClosing(SlotId session_id) {
-  Session* session = deps_.sessions.Find(session_id);
-  if (session == nullptr || session->CurrentState() != Session::State::kClosing) return;
-  // Reading reports what has been read by the events that call this method.
-  if (std::exchange(session->is_forwarding_rest, true)) return;
-  const bool forwarded = deps_.forwarder.ForwardRest(session_id);
-  session = deps_.sessions.Find(session_id);
-  if (session == nullptr) return;
-  session->is_forwarding_rest = false;
-  if (forwarded) FinishSession(*session, session->closing);
-}
-
-void SessionController::FinishSession(Session& session, const SessionEnd& end) {
-  const SlotId session_id = session.id;
-  const EndpointIndex endpoint = session.endpoint;
-  const SessionEnd final_end = end;  // `end` may be part of the session.
-  deps_.downstream.End(session.client, final_end.last_line, final_end.client_end);
-  deps_.upstream.Finish(session.attempt);
-  deps_.sessions.Erase(session);
-  deps_.balancer.HandleEvent(
-      ToAttemptEnded(session_id, endpoint, final_end.end, RequestState::kFinished, {}));
-}
-
-bool SessionController::ExtendHalfClosed(Session& session) {
-  const TcpConnection* client = deps_.downstream.Find(session.client);
-  const TcpConnection* attempt = deps_.upstream.Find(session.attempt);
-  if (client == nullptr || attempt == nullptr) return false;
-  const std::size_t unsent = attempt->UnsentBytes();
-  const bool endpoint_reads = unsent < std::exchange(session.unsent_to_endpoint, unsent);
-  if (client->QueuedBytes() == 0 && !endpoint_reads) return false;
-  session.timer.Set(Now() + Forwarder::kAnswerTimeout);
-  return true;
-}
+// ---- timeouts ----
 
 void SessionController::OnSessionTimeout(SlotId session_id) {
   Session* session = deps_.sessions.Find(session_id);
@@ -455,18 +403,17 @@
       }
       return;
     case Session::State::kHalfClosed:
-      // Its client may still wait for an answer.
-      if (!ExtendHalfClosed(*session)) EndEstablished(*session, {AttemptEnd::kAbandoned, kMoveLine});
+      deps_.closer.OnHalfClosedTimeout(*session);
       return;
     case Session::State::kClosing:
-      FinishSession(*session, session->closing);
+      deps_.closer.Finish(*session, session->closing);
       return;
     case Session::State::kEstablished:
       // The connections of a machine that has crashed or lost its network stay open without any event.
       ++deps_.counters.silent_endpoints;
       LogLine(Level::kInfo, "endpoint silent, client migrated")
           .Field("endpoint", deps_.upstream.Endpoints().IdOf(session->endpoint));
-      EndEstablished(*session, {AttemptEnd::kBroken, kMoveLine});
+      deps_.closer.Close(*session, {AttemptEnd::kBroken, kMoveLine});
       return;
   }
 }
--- a/src/proxy/session_controller.h
+++ b/src/proxy/session_controller.h
@@ -18,6 +18,7 @@
 #include "proxy/downstream.h"
 #include "proxy/fleet_quota_guard.h"
 #include "proxy/forwarder.h"
+#include "proxy/session_closer.h"
 #include "proxy/session_resumption.h"
 #include "proxy/session_table.h"
 #include "proxy/upstream.h"
@@ -45,6 +46,7 @@
     FleetQuotaGuard& fleet;
     SessionResumption& resumption;
     Forwarder& forwarder;
+    SessionCloser& closer;
   };
 
   // Only stores the references.
@@ -53,11 +55,6 @@
   // Migrates `count` of the open sessions, most recently answered first: their clients are furthest
   // from sending the next line.
   void MigrateIdle(std::size_t count);
-  // For the end of a graceful shutdown: ends all sessions that are still closing at once, and migrates those
-  // that are half-closed.
-  void FinishClosingSessions();
-  // Whether a connection of an ended session still holds data for its endpoint.
-  bool HasUnsentOutput() { return deps_.upstream.HasUnsentOutput(); }
 
   // ActionHandler
   void OpenAttempt(SlotId session_id, EndpointIndex endpoint, const AttemptLimits& limits) override;
@@ -97,15 +94,6 @@
   void EndPending(Session& session, ConnectionEnd end);
   // Ends an established session whose client connection was reset.
   void ResetEstablished(Session& session);
-  // Ends a session past kPending. What either side sent before is forwarded first: at once, unless the other
-  // side does not take it. It is then kClosing meanwhile, for a limited time.
-  void EndEstablished(Session& session, const SessionEnd& end);
-  // Forwards what a closing session's sides have sent, and ends the session if nothing is left.
-  void ContinueClosing(SlotId session_id);
-  // Gives a half-closed session more time, if one of its sides still takes what it is sent.
-  bool ExtendHalfClosed(Session& session);
-  // Closes both connections, erases the session and reports the end to the balancer.
-  void FinishSession(Session& session, const SessionEnd& end);
   // The index of the class called `name`; the number of classes if there is none.
   std::size_t ClassIndex(std::string_view name) const;
   // The counters of a class; null if the index is not valid.
--- a/src/proxy/session_table.h
+++ b/src/proxy/session_table.h
@@ -1,10 +1,10 @@
 // All sessions of the proxy.
 //
-// Only SessionController erases sessions, and only through SessionTable::Erase, which ends a session's timer,
-// usage and fleet-wide count. It does so in callbacks of sockets and timers and while it executes the
-// balancer's actions. Any call of BalancerDriver::HandleEvent may therefore erase any session: look the
-// session up again by its id afterwards. A Session& stays readable until the end of the event loop's turn,
-// but that session has already ended.
+// Only SessionController and SessionCloser erase sessions, and only through SessionTable::Erase, which ends a
+// session's timer, usage and fleet-wide count. They do so in callbacks of sockets and timers and while the
+// balancer's actions are executed. Any call of BalancerDriver::HandleEvent may therefore erase any session:
+// look the session up again by its id afterwards. A Session& stays readable until the end of the event loop's
+// turn, but that session has already ended.
 #ifndef STOATRUN_PROXY_SESSION_TABLE_H_
 #define STOATRUN_PROXY_SESSION_TABLE_H_
 
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -60,9 +60,9 @@
   }
 }
 
-void Upstream::ForgetGoneEndpoints(std::unordered_set<EndpointIndex> used) {
+void Upstream::EraseRemovedEndpoints(std::unordered_set<EndpointIndex> used) {
   connections_.ForEach([&](const Connection& connection) { used.insert(connection.endpoint); });
-  for (const EndpointIndex endpoint : endpoints_.ForgetGone(used)) per_endpoint_.erase(endpoint);
+  for (const EndpointIndex endpoint : endpoints_.EraseRemoved(used)) per_endpoint_.erase(endpoint);
 }
 
 void Upstream::StopSending(EndpointIndex endpoint) {
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -93,10 +93,10 @@
   const EndpointTable& Endpoints() const { return endpoints_; }
   // Applies an update of the endpoint list.
   void ApplyUpdate(const EndpointUpdate& update);
-  // Whether so many endpoints have been listed that ForgetGoneEndpoints is due.
-  bool IsForgettingDue() const { return endpoints_.IsForgettingDue(); }
-  // Forgets the endpoints that are gone, except those in `used` and those with a connection.
-  void ForgetGoneEndpoints(std::unordered_set<EndpointIndex> used);
+  // Whether so many endpoints have been listed that EraseRemovedEndpoints is due.
+  bool IsSweepDue() const { return endpoints_.IsSweepDue(); }
+  // Erases the endpoints that are gone, except those in `used` and those with a connection.
+  void EraseRemovedEndpoints(std::unordered_set<EndpointIndex> used);
 
   // Starts an attempt and returns its id.
   SlotId Open(SlotId owner, EndpointIndex endpoint, const AttemptRequest& request);
--- a/tests/balancer/endpoint_table_test.cpp
+++ b/tests/balancer/endpoint_table_test.cpp
@@ -43,7 +43,7 @@
 
 // Removed endpoints are forgotten while requests that were sent to them are still in flight, are established
 // or are retried. With sanitizers this also shows any use of a record that is gone.
-TEST(EndpointTable, RemovedEndpointsAreForgottenWhenNoRequestUsesThem) {
+TEST(EndpointTable, RemovedEndpointsAreErasedWhenNoRequestUsesThem) {
   Settings settings = NoProbeSettings(Idempotency::kIdempotent);
   settings.seed = 20261205;
   BalancerFixture fixture(settings);
--- a/tests/proxy/endpoint_update_test.cpp
+++ b/tests/proxy/endpoint_update_test.cpp
@@ -53,7 +53,7 @@
   const EndpointIndex used = update("used", EndpointState::kGone);
   const EndpointIndex unused = update("unused", EndpointState::kGone);
   const EndpointIndex listed = update("listed", EndpointState::kDraining);
-  CHECK(table.ForgetGone({used}) == std::vector<EndpointIndex>{unused});
+  CHECK(table.EraseRemoved({used}) == std::vector<EndpointIndex>{unused});
   CHECK((table.IdOf(used) == "used" && table.IdOf(listed) == "listed" && table.IdOf(unused).empty()));
   CHECK(table.Get(unused).state == EndpointState::kGone);
   CHECK(update("unused", EndpointState::kReady) > listed);
@@ -76,7 +76,7 @@
     for (std::size_t k = 0; k < kListed; ++k)
       update.entries.push_back({prefix + std::to_string(k), "127.0.0.1:1", "z"});
     table.Apply(update);
-    if (table.IsForgettingDue()) table.ForgetGone({});
+    if (table.IsSweepDue()) table.EraseRemoved({});
     update.entries.erase(update.entries.begin(), update.entries.end() - static_cast<std::ptrdiff_t>(kListed));
     CHECK(table.ListedCount() == kListed);
     CHECK(table.Find(prefix + std::to_string(kListed - 1)));
