Wait for what a full receive window held back before a session ends

A socket that is empty does not show what its sender wrote while the receive window was full: of 300 lines for a client that the balancer moved, 35 were lost after MOVE. Where more than 32 KiB came while a session closes, its end waits until nothing has come for 20 ms, 0.8 s at most as before.

--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -63,6 +63,7 @@
   const bool awaits_line_end = session.to_endpoint == LineBoundary::kAwaited;
   if (awaits_line_end) input = input.substr(0, LineLength(input).value_or(input.size()));
   attempt->Write({input});
+  session.RecordForwarded(input.size(), loop_.Now());
   session.client_is_within_line = input.back() != '\n';
   if (awaits_line_end && !session.client_is_within_line) session.to_endpoint = LineBoundary::kReached;
   if (session.unanswered_since.count() == 0 && input.find('\n') != std::string_view::npos) {
@@ -86,6 +87,7 @@
   const std::string_view forwarded = input.substr(0, ForwardableSize(input, extent));
   if (forwarded.empty()) return;
   client->Write({forwarded});
+  session->RecordForwarded(forwarded.size(), loop_.Now());
   if (session->to_client == LineBoundary::kAwaited) session->to_client = LineBoundary::kReached;
   // The lines are copied and handled after the buffers have been updated, because the balancer may migrate
   // this client while it handles them.
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -59,7 +59,8 @@
 //
 // The timer depends on the state. kPending: start of the next resumption attempt. kEstablished: deadline for
 // the endpoint's answer to the client's line. kHalfClosed: deadline for the endpoint's next bytes or its
-// end. kClosing: deadline for the end of forwarding.
+// end. kClosing: when to look again whether all has been
+// forwarded.
 class Session {
  public:
   // The states in the diagram above.
@@ -107,8 +108,15 @@
     assert(state_ == State::kEstablished || state_ == State::kHalfClosed);
     state_ = State::kClosing;
     closing = end;
+    closing_deadline = deadline;
     timer.Set(deadline);
   }
+  // Records that `size` bytes were forwarded at `now`, in either direction.
+  void RecordForwarded(std::size_t size, Micros now) {
+    if (state_ != State::kClosing) return;
+    closing_bytes += size;
+    last_forwarded_at = now;
+  }
 
   const SlotId id;
   const std::string connection_id;  // The connection id of the client's request.
@@ -138,6 +146,9 @@
 
   // Used in kClosing.
   SessionEnd closing;
+  Micros closing_deadline{0};
+  std::size_t closing_bytes = 0;    // Forwarded in this state, in both directions.
+  Micros last_forwarded_at{0};      // Of these, the last; 0: none.
   bool is_forwarding_rest = false;  // Forwarder::ForwardRest is running for this session.
   // Whether the rest of an incomplete line is awaited, by direction.
   LineBoundary to_endpoint = LineBoundary::kNotAwaited, to_client = LineBoundary::kNotAwaited;
--- a/src/proxy/session_closer.cpp
+++ b/src/proxy/session_closer.cpp
@@ -1,5 +1,6 @@
 #include "proxy/session_closer.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <utility>
@@ -13,6 +14,20 @@
 // sends a line in pieces. An endpoint's end must be passed on within 1 s.
 constexpr Micros kClosingTimeout = std::chrono::milliseconds(800);
 
+// More than this may not have fitted into the socket: what its sender has written may still lie on the
+// sender's side, and comes as the socket is read. The smallest receive window of a new connection is twice as
+// large.
+constexpr std::size_t kMaxBytesInSocket = std::size_t{32} * 1024;
+// For how long nothing more must come then. Longer than a round trip.
+constexpr Micros kQuietPeriod = std::chrono::milliseconds(20);
+
+// When the session may end, if nothing is left to forward now.
+Micros EarliestEnd(const Session& session) {
+  const bool may_have_more = session.closing_bytes > kMaxBytesInSocket;
+  return may_have_more ? std::min(session.closing_deadline, session.last_forwarded_at + kQuietPeriod)
+                       : Micros(0);
+}
+
 }  // namespace
 
 SessionCloser::SessionCloser(EventLoop& loop, SessionTable& sessions, Downstream& downstream,
@@ -39,7 +54,12 @@
   session = sessions_.Find(session_id);
   if (session == nullptr) return;
   session->is_forwarding_rest = false;
-  if (forwarded) Finish(*session, session->closing);
+  const Micros end = forwarded ? EarliestEnd(*session) : session->closing_deadline;
+  if (loop_.Now() >= end) {
+    Finish(*session, session->closing);
+  } else {
+    session->timer.Set(end);
+  }
 }
 
 void SessionCloser::Finish(Session& session, const SessionEnd& end) {
--- a/src/proxy/session_controller.cpp
+++ b/src/proxy/session_controller.cpp
@@ -406,7 +406,7 @@
       deps_.closer.OnHalfClosedTimeout(*session);
       return;
     case Session::State::kClosing:
-      deps_.closer.Finish(*session, session->closing);
+      deps_.closer.Continue(session_id);
       return;
     case Session::State::kEstablished:
       // The connections of a machine that has crashed or lost its network stay open without any event.
