Where lists are pushed, don't use a list at the start that no agent confirms

What callers saw: where lists are pushed, a new process sent by the configured list for up to 6 s if its agent answered 503, reset its calls or sent half an answer, although what the agent has counts "from the first moment of a new process".

Change: until the first event, requests are rejected from 150 ms after the start on. A list of another process counts for 2.5 s after its last event, as long as an open watch may be without one.

--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -32,8 +32,11 @@
 // Follows the events of the watch, the calls to the service and the reloads of one discovery client.
 class UpdateDeadline {
  public:
-  // Nothing shows that the list is current at the start. The service may be asked first, as if it were.
-  UpdateDeadline(Micros now, ListSource source) : source_(source), list_current_at_(now) {}
+  // Nothing shows that the list is current at the start. What an agent has counts as known at once. A shared
+  // service may be asked first, as if the list were current.
+  UpdateDeadline(Micros now, ListSource source) : source_(source), list_current_at_(now) {
+    if (source == ListSource::kLocalAgent) start_deadline_ = now + kMaxTimeToFirstAgentAnswer;
+  }
 
   // The service has sent an event: the list is current.
   void OnEvent(Micros now) {
@@ -54,7 +57,9 @@
     reload_deadline_ = list.reload_deadline;
     has_evidence_ = true;
     down_at_.reset();
-    start_deadline_.reset();
+    if (source_ == ListSource::kSharedService) start_deadline_.reset();
+    // An agent tells changes at once, to any process: the other one has them as long as its watch has events.
+    if (start_deadline_) start_deadline_ = std::max(*start_deadline_, list.current_at + kEventTimeout);
   }
   // The process counts as ready. What its predecessor was told counts as known some time later, so a list
   // that nothing shows to be current must not be used for longer.
@@ -121,6 +126,10 @@
   static constexpr Micros kKnownAfterChange = std::chrono::seconds(6);
   static constexpr Micros kKnownAfterReload = std::chrono::seconds(4);
   static constexpr Micros kKnownAfterReady = std::chrono::seconds(2);
+  // An agent answers at once. Within the grace time of a drain, less the time that a process may be held up.
+  static constexpr Micros kMaxTimeToFirstAgentAnswer = std::chrono::milliseconds(150);
+  // An open watch has an event in this time.
+  static constexpr Micros kEventTimeout = std::chrono::milliseconds(2500);
   // Bounds of IsOverdue: where changes that were missed count as known for certain, and where all calls may
   // have failed because the service is down.
   static constexpr Micros kMaxOverdue = std::chrono::seconds(30);
