Bind a list that nothing confirms; keep the old process while it is the only source

Cause: an outage excused the bound of 2 s after the yes. And an old process without sessions ended at once, and its watch, the only one of the relay, with it.

Change: - From 2 s after the yes a list that nothing has confirmed is not used, whatever calls do; a replacing process without the old list asks for the complete one. - The yes is held for 4.5 s at most (4 s); the old process stays until its time is over, as long as no other process has published a list of its own.

--- a/src/endpoint/endpoint_list_sharing.cpp
+++ b/src/endpoint/endpoint_list_sharing.cpp
@@ -107,6 +107,7 @@
     if (!content) return std::nullopt;
     EndpointSnapshot snapshot = DecodeSnapshot(*content, origin_, loop_.clock.Current());
     written_at_ = snapshot.written_at;
+    other_written_at_ = snapshot.written_at;
     other_discovery_ = snapshot.discovery;
     other_service_since_ = snapshot.service_since;
     last_failure_.clear();
@@ -153,6 +154,11 @@
   return snapshot;
 }
 
+bool EndpointListSharing::IsOnlySource() const {
+  const bool is_publishing = discovery_ != nullptr && discovery_->HasReceivedEvent();
+  return is_publishing && loop_.Now() - other_written_at_ >= kPublisherTimeout;
+}
+
 void EndpointListSharing::Publish() {
   if (discovery_ == nullptr) return;
   const auto status = discovery_->Status();
--- a/src/endpoint/endpoint_list_sharing.h
+++ b/src/endpoint/endpoint_list_sharing.h
@@ -43,6 +43,9 @@
   void OnUpdateApplied(const EndpointUpdate& update);
   // Publishes what has changed since the last time.
   void Publish();
+  // Whether another process may depend on what discovery tells this one: none has lately published a list
+  // that discovery sent to itself.
+  bool IsOnlySource() const;
 
  private:
   void EraseMissing(const EndpointUpdate& complete);
@@ -71,6 +74,7 @@
   std::uint64_t published_updates_ = 0;
   Micros written_at_{0};  // The latest publication of any process.
   // The latest one of another process.
+  Micros other_written_at_{0};
   std::string other_discovery_;
   Micros other_service_since_{0};
   std::string last_failure_;  // Logged; empty after a success.
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -44,6 +44,7 @@
     watch_fell_silent_ = false;
     has_evidence_ = true;
     start_deadline_.reset();
+    ready_deadline_.reset();
     reload_deadline_.reset();
     ForgetCalls();
   }
@@ -56,16 +57,16 @@
     watch_fell_silent_ = list.watch_fell_silent;
     reload_deadline_ = list.reload_deadline;
     has_evidence_ = true;
+    ready_deadline_.reset();
     down_at_.reset();
-    if (source_ == ListSource::kSharedService) start_deadline_.reset();
     // An agent tells changes at once, to any process: the other one has them as long as its watch has events.
     if (start_deadline_) start_deadline_ = std::max(*start_deadline_, list.current_at + kEventTimeout);
   }
-  // The process counts as ready. What its predecessor was told counts as known some time later, so a list
-  // that nothing shows to be current must not be used for longer.
+  // The process, which replaces another one, counts as ready. What that one was told counts as known some
+  // time later, whatever has become of the service, so a list that nothing shows to be current must not be
+  // used for longer.
   void OnReady(Micros now) {
-    if (has_evidence_) return;
-    start_deadline_ = std::min(start_deadline_.value_or(Micros::max()), now + kKnownAfterReady);
+    if (!has_evidence_) ready_deadline_ = now + kKnownAfterReady;
   }
   // The watch has been silent for too long. What it missed counts as known in time, whatever calls do.
   void OnWatchSilent() { watch_fell_silent_ = true; }
@@ -106,6 +107,7 @@
   // Ends after a time without an event, whatever happens in between: the service is assumed to be out of
   // order, and the current list is the best that there is.
   bool IsOverdue(Micros now) const {
+    if (ready_deadline_ && now >= *ready_deadline_) return now < *ready_deadline_ + kMaxOverdue;
     if (now < Deadline() || IsDown(now)) return false;
     const bool is_certain = watch_fell_silent_ || reload_deadline_ || source_ == ListSource::kLocalAgent;
     const Micros limit = is_certain ? kMaxOverdue : kMaxOverdueInDoubt;
@@ -143,7 +145,8 @@
   Micros Deadline() const {
     const Micros by_start = start_deadline_.value_or(Micros::max());
     const Micros by_reload = reload_deadline_.value_or(Micros::max());
-    return std::min({list_current_at_ + kKnownAfterChange, by_start, by_reload});
+    const Micros by_change = ready_deadline_.value_or(list_current_at_ + kKnownAfterChange);
+    return std::min({by_change, by_start, by_reload});
   }
   void MergeDoubts(const ListFreshness& list) {
     watch_fell_silent_ = watch_fell_silent_ || list.watch_fell_silent;
@@ -172,7 +175,8 @@
   const ListSource source_;
   Micros list_current_at_;
   bool has_evidence_ = false;              // Of list_current_at_; it is assumed until then.
-  std::optional<Micros> start_deadline_;   // Until there is evidence.
+  std::optional<Micros> start_deadline_;   // Of a list that no agent has confirmed.
+  std::optional<Micros> ready_deadline_;   // Of a list that nothing has confirmed, after OnReady.
   bool watch_fell_silent_ = false;         // Since the last event.
   std::optional<Micros> reload_deadline_;  // Set from a reload to the next event.
 
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -32,13 +32,14 @@
 
 GracefulShutdown::GracefulShutdown(EventLoop& loop, Micros max_deadline, SessionTable& sessions,
                                    Downstream& downstream, SessionController& controller,
-                                   SessionCloser& closer)
+                                   SessionCloser& closer, const EndpointListSharing& sharing)
     : loop_(loop),
       max_deadline_(max_deadline),
       sessions_(sessions),
       downstream_(downstream),
       controller_(controller),
       closer_(closer),
+      sharing_(sharing),
       timer_(loop.timers, [this] { Step(); }) {}
 
 bool GracefulShutdown::Begin() {
@@ -71,7 +72,8 @@
   downstream_.EndIdle(!is_ending && sessions_.Size() > 0);
   const bool all_clients_ended = phase_ == Phase::kMigrating && sessions_.Size() == 0 &&
                                  !downstream_.HasPendingClients() && !closer_.HasUnsentOutput();
-  if (all_clients_ended || loop_.Now() >= EndTime()) {
+  const bool may_leave_early = all_clients_ended && !sharing_.IsOnlySource();
+  if (may_leave_early || loop_.Now() >= EndTime()) {
     LogLine(Level::kInfo, "drained,").Field("left", sessions_.Size());
     loop_.Stop();
     return;
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "base/event_loop.h"
+#include "endpoint/endpoint_list_sharing.h"
 #include "proxy/downstream.h"
 #include "proxy/session_controller.h"
 #include "proxy/session_table.h"
@@ -19,7 +20,8 @@
 //
 // kAccepting: serves the clients that the front load balancer still sends. kMigrating: the listening socket
 // is closed and established sessions are migrated. With an inherited listening socket kAccepting ends at
-// once, because the next process accepts the clients in its queue.
+// once, because the next process accepts the clients in its queue. A process whose successor has no answer
+// from discovery yet stays until the time-out, to pass on what discovery tells it.
 //
 // Used by the event loop's thread only.
 class GracefulShutdown {
@@ -27,7 +29,7 @@
   // `max_deadline`: the longest deadline of any client request. The shutdown may take slightly longer. All
   // references must outlive the object.
   GracefulShutdown(EventLoop& loop, Micros max_deadline, SessionTable& sessions, Downstream& downstream,
-                   SessionController& controller, SessionCloser& closer);
+                   SessionController& controller, SessionCloser& closer, const EndpointListSharing& sharing);
 
   // Begins the shutdown, in the next turn of the event loop. False: it has already begun.
   bool Begin();
@@ -47,6 +49,7 @@
   Downstream& downstream_;
   SessionController& controller_;
   SessionCloser& closer_;
+  const EndpointListSharing& sharing_;
   Phase phase_ = Phase::kServing;
   Micros started_at_{0};
   double migration_carry_ = 0;  // Part of a migration carried over to the next step: see drain::EvenShare.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -30,14 +30,17 @@
       closer_(loop, sessions_, downstream_, upstream_, balancer_, forwarder_),
       list_sharing_(loop, handover.endpoint_list),
       endpoint_updater_(loop, config.settings, upstream_, fleet_, balancer_, sessions_, list_sharing_),
-      discovery_(loop, endpoint_updater_, counters_, config.discovery, config.discovery_text,
-                 config.cached_endpoints.revision,
-                 {pushed_ ? 1 : config.settings.balancer.replicas, config.settings.balancer.seed,
-                  MaxDiscoveryPollInterval(config.settings),
-                  pushed_ ? ListSource::kLocalAgent : ListSource::kSharedService}),
+      discovery_(
+          loop, endpoint_updater_, counters_, config.discovery, config.discovery_text,
+          // A replaced process may have been told more than is configured: only a complete list shows all.
+          config.accept_fd ? 0 : config.cached_endpoints.revision,
+          {pushed_ ? 1 : config.settings.balancer.replicas, config.settings.balancer.seed,
+           MaxDiscoveryPollInterval(config.settings),
+           pushed_ ? ListSource::kLocalAgent : ListSource::kSharedService}),
       downstream_(loop, controller_, counters_, DescriptorLimit(config)),
       operator_drain_(loop, counters_, sessions_, downstream_, controller_),
-      shutdown_(loop, config.settings.max_deadline, sessions_, downstream_, controller_, closer_),
+      shutdown_(loop, config.settings.max_deadline, sessions_, downstream_, controller_, closer_,
+                list_sharing_),
       readiness_gate_(loop, discovery_) {
   counters_.classes.resize(config_.settings.class_names.size());
 }
--- a/src/proxy/readiness_gate.cpp
+++ b/src/proxy/readiness_gate.cpp
@@ -7,9 +7,9 @@
 namespace stoatrun {
 namespace {
 
-// Leaves 2 s of the platform's time for the start of a process on a busy machine, and for the platform's
+// Leaves 1.5 s of the platform's time for the start of a process on a busy machine, and for the platform's
 // calls.
-constexpr Micros kMaxDelay = std::chrono::seconds(4);
+constexpr Micros kMaxDelay = std::chrono::milliseconds(4500);
 
 }  // namespace
 
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -86,6 +86,8 @@
   const Counters& Counts() const { return Newest().proxy->Counts(); }
   // The proxy under test: that of the newest process.
   const Proxy& ProxyUnderTest() const { return *Newest().proxy; }
+  // The number of processes that run.
+  std::size_t ProcessCount() const { return processes_.size(); }
   // The time of the clock that all processes share.
   Micros Now() const { return Newest().loop.Now(); }
   // The number of attempts that have been made at an endpoint.
--- a/tests/proxy/process_replacement_test.cpp
+++ b/tests/proxy/process_replacement_test.cpp
@@ -252,7 +252,9 @@
   ReplacementTrial trial;
   trial.KillOld();
   const int what_is_left = GENERATE(range(0, 4));
-  INFO("what is left: " << what_is_left);
+  trial.fault =
+      GENERATE(CallFault::kUnanswered, CallFault::kRejected, CallFault::kReset, CallFault::kRefused);
+  INFO("what is left: " << what_is_left << ", fault " << static_cast<int>(*trial.fault));
   switch (what_is_left) {
     case 0:  // A first process.
       std::filesystem::remove(trial.list_path);
@@ -279,6 +281,18 @@
   CHECK(ready_at_ms - started_at_ms < kMaxTimeToReadyMs);
 }
 
+// Guards against an old process that ends, and its watch with it, while the new one has none.
+TEST_CASE("an old process without sessions stays as long as it may until the new one has a watch") {
+  ReplacementTrial trial;
+  trial.fixture.Play("old close\nreplace discovery");
+  const bool is_answered = GENERATE(false, true);
+  if (is_answered) trial.fixture.Play("discovery plain " + kHead + kFirstDrains + R"(\n)");
+  trial.fixture.Play("wait 100\ndrain-old\nwait 2200");
+  CHECK(trial.fixture.ProcessCount() == (is_answered ? 1 : 2));
+  trial.fixture.Play("wait 1400");
+  CHECK(trial.fixture.ProcessCount() == 1);
+}
+
 TEST_CASE("a new process is ready as soon as discovery has answered it") {
   ReplacementTrial trial;
   trial.fixture.Play("replace discovery");
