Keep the order of the shared list, and the deadline of a reload that came after it

The balancer's choice among equal endpoints follows the order, so each successor began with the same ones. The order of the old process is kept.

--- a/src/endpoint/endpoint_list_sharing.cpp
+++ b/src/endpoint/endpoint_list_sharing.cpp
@@ -1,11 +1,13 @@
 #include "endpoint/endpoint_list_sharing.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <exception>
 #include <set>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "base/durations.h"
 #include "base/log.h"
@@ -88,7 +90,9 @@
 
 // An entry without a valid address keeps the one that it had, as in the proxy's table.
 void EndpointListSharing::Store(const Endpoint& endpoint) {
-  Endpoint& entry = endpoints_[endpoint.id];
+  const auto [listed, added] = endpoints_.try_emplace(endpoint.id);
+  if (added) listed->second.position = next_position_++;
+  Endpoint& entry = listed->second.endpoint;
   std::string former_address = std::move(entry.address);
   entry = endpoint;
   if (!Address::Parse(entry.address)) entry.address = std::move(former_address);
@@ -142,6 +146,18 @@
   return status != published_status_ || updates_ != published_updates_ || silence >= kPublicationInterval;
 }
 
+// The order is kept because the balancer's choice among equal endpoints depends on it.
+std::vector<Endpoint> EndpointListSharing::OrderedEndpoints() const {
+  std::vector<const ListedEndpoint*> ordered;
+  ordered.reserve(endpoints_.size());
+  for (const auto& [id, listed] : endpoints_) ordered.push_back(&listed);
+  std::ranges::sort(ordered, {}, &ListedEndpoint::position);
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(ordered.size());
+  for (const ListedEndpoint* listed : ordered) endpoints.push_back(listed->endpoint);
+  return endpoints;
+}
+
 EndpointSnapshot EndpointListSharing::MakeSnapshot(const DiscoveryClient::ListStatus& status) const {
   EndpointSnapshot snapshot;
   snapshot.written_at = loop_.Now();
@@ -149,7 +165,7 @@
   snapshot.service_since = status.service_since;
   snapshot.list.revision = status.revision;
   snapshot.list.complete = true;
-  for (const auto& [id, endpoint] : endpoints_) snapshot.list.entries.push_back(endpoint);
+  snapshot.list.entries = OrderedEndpoints();
   snapshot.freshness = status.freshness;
   return snapshot;
 }
--- a/src/endpoint/endpoint_list_sharing.h
+++ b/src/endpoint/endpoint_list_sharing.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "base/replaceable_file.h"
@@ -56,6 +57,7 @@
   bool IsBehind(const EndpointSnapshot& other) const;
   std::optional<EndpointSnapshot> ReadIfReplaced();
   bool IsPublicationDue(const DiscoveryClient::ListStatus& status) const;
+  std::vector<Endpoint> OrderedEndpoints() const;
   EndpointSnapshot MakeSnapshot(const DiscoveryClient::ListStatus& status) const;
   void LogFailure(const char* event, const std::string& reason);
 
@@ -66,8 +68,13 @@
   std::function<void(const EndpointUpdate&)> apply_;
   Timer next_step_;
 
-  std::map<std::string, Endpoint> endpoints_;  // The current list, by id.
-  std::uint64_t updates_ = 0;                  // Applied to it.
+  struct ListedEndpoint {
+    Endpoint endpoint;
+    std::uint64_t position = 0;  // In the order in which endpoints were first listed.
+  };
+  std::map<std::string, ListedEndpoint> endpoints_;  // The current list, by id.
+  std::uint64_t next_position_ = 0;
+  std::uint64_t updates_ = 0;  // Applied to the list.
 
   // The latest publication of this process.
   std::optional<DiscoveryClient::ListStatus> published_status_;
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -53,9 +53,12 @@
   void OnOtherProcess(const ListFreshness& list) {
     if (has_evidence_ && list.current_at < list_current_at_) return;
     if (has_evidence_ && list.current_at == list_current_at_) return MergeDoubts(list);
+    const bool is_from_before_reload =
+        reload_deadline_ && list.current_at < *reload_deadline_ - kKnownAfterReload;
+    if (!is_from_before_reload) reload_deadline_.reset();
     list_current_at_ = list.current_at;
-    watch_fell_silent_ = list.watch_fell_silent;
-    reload_deadline_ = list.reload_deadline;
+    watch_fell_silent_ = false;
+    MergeDoubts(list);
     has_evidence_ = true;
     ready_deadline_.reset();
     down_at_.reset();
--- a/src/proxy/readiness_gate.cpp
+++ b/src/proxy/readiness_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "base/durations.h"
 #include "base/log.h"
 
 namespace stoatrun {
@@ -15,14 +16,16 @@
 
 void ReadinessGate::Close() {
   is_open_ = false;
-  timeout_.Set(loop_.Now() + kMaxDelay);
+  closed_at_ = loop_.Now();
+  timeout_.Set(closed_at_ + kMaxDelay);
 }
 
 void ReadinessGate::Open() {
   timeout_.Cancel();
   if (IsOpen()) return;
   is_open_ = true;
-  LogLine(Level::kWarn, "ready before discovery has answered");
+  LogLine(Level::kWarn, "ready before discovery has answered")
+      .Field("waited_ms", ToMilliseconds(loop_.Now() - closed_at_));
   discovery_.OnReady();
 }
 
--- a/src/proxy/readiness_gate.h
+++ b/src/proxy/readiness_gate.h
@@ -31,6 +31,7 @@
   DiscoveryClient& discovery_;
   Timer timeout_;
   bool is_open_ = true;
+  Micros closed_at_{0};
 };
 
 }  // namespace stoatrun
--- a/tests/proxy/endpoint_update_test.cpp
+++ b/tests/proxy/endpoint_update_test.cpp
@@ -73,8 +73,9 @@
   EndpointUpdate update;
   for (const std::string prefix : {"old", "new", "newer"}) {
     for (Endpoint& endpoint : update.entries) endpoint.state = EndpointState::kGone;
-    for (std::size_t k = 0; k < kListed; ++k)
+    for (std::size_t k = 0; k < kListed; ++k) {
       update.entries.push_back({prefix + std::to_string(k), "127.0.0.1:1", "z"});
+    }
     table.Apply(update);
     if (table.IsSweepDue()) table.EraseRemoved({});
     update.entries.erase(update.entries.begin(), update.entries.end() - static_cast<std::ptrdiff_t>(kListed));
--- a/tests/proxy/sent_request_ids_test.cpp
+++ b/tests/proxy/sent_request_ids_test.cpp
@@ -41,8 +41,9 @@
     REQUIRE(ids.Claim(claimed.back(), kNow + std::chrono::milliseconds(k)));
   }
   const Micros end = kNow + std::chrono::milliseconds(kCount);
-  for (int k = kCount - kKept; k < kCount; ++k)
+  for (int k = kCount - kKept; k < kCount; ++k) {
     REQUIRE(ids.Contains(claimed[static_cast<std::size_t>(k)], end));
+  }
 }
 
 }  // namespace
