--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -206,7 +206,8 @@
 
 void DiscoveryClient::OnCallUpdate(WatchCall& call, const EndpointUpdate& update) {
   const bool from_own_service = call.Host() == host_;
-  const bool is_known = from_own_service && !update.complete && update.revision <= other_process_revision_;
+  const bool other_is_ahead = other_process_revision_ > 0 && update.revision <= other_process_revision_;
+  const bool is_known = from_own_service && !update.complete && other_is_ahead;
   if (from_own_service) {
     if (!is_known) revision_ = update.revision;
     if (update.complete) other_process_revision_ = 0;  // The service may have started to count anew.
--- a/tests/proxy/process_replacement_test.cpp
+++ b/tests/proxy/process_replacement_test.cpp
@@ -361,6 +361,14 @@
   trial.CheckNoneAtFirst();
 }
 
+// Guards against changes of a service that counts no revisions, which were taken for known ones.
+TEST_CASE("a change without a revision is applied") {
+  LoopbackFixture fixture({"s-1"});
+  TimeToCall(fixture, "discovery", 0, 6000);
+  fixture.Play(R"(discovery send {"members":[{"id":"s-1","phase":"gone"}]})");
+  CHECK(fixture.ProxyUnderTest().EndpointCount() == 0);
+}
+
 // Guards against requests by the configured list where lists are pushed: what the agent has counts from the
 // first moment of a process.
 TEST_CASE("where lists are pushed a list that no agent confirms is not used at the start") {
