--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -34,9 +34,9 @@
 //   stall MS STEP         plays STEP while the proxy is held up for so long
 //   wait MS | drain | stopped           advances the clock; starts the graceful shutdown (SIGTERM); has ended
 //   drain-call | activate               the operators' calls at the management address
-//   replace discovery     starts a new process of the relay, which takes all later clients and the steps above
-//   drain-old | kill-old  the graceful shutdown of the oldest process, which then exits; its end without one, after
-//                         which no process may be left until the next `replace`
+//   replace discovery     starts a new process of the relay, which takes all later clients and steps
+//   drain-old | kill-old  the graceful shutdown of the oldest process, which then exits; its end without one,
+//                         after which no process may be left until the next `replace`
 // clang-format on
 #ifndef STOATRUN_TESTS_PROXY_LOOPBACK_FIXTURE_H_
 #define STOATRUN_TESTS_PROXY_LOOPBACK_FIXTURE_H_
