Tests: one temporary folder, one option for the inherited socket

The ledger's folder goes to tests/base and serves both; each process duplicates accept_fd, as the platform hands its socket down. Unused members and includes of the same change go. No assertion changed.

--- a/tests/base/replaceable_file_test.cpp
+++ b/tests/base/replaceable_file_test.cpp
@@ -1,8 +1,10 @@
 #include "base/replaceable_file.h"
 
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 #include <system_error>
 
@@ -13,9 +15,14 @@
 
 struct SharedFile {
   TemporaryFolder folder;
-  std::string path = folder.FileNamed("shared");
+  std::string path = folder.Path() + "/shared";
   ReplaceableFile ours{path, 100};
   ReplaceableFile theirs{path, 100};
+
+  std::ptrdiff_t FileCount() const {
+    return std::distance(std::filesystem::directory_iterator(folder.Path()),
+                         std::filesystem::directory_iterator());
+  }
 };
 
 TEST_CASE_METHOD(SharedFile, "each replacement by another process is read once") {
@@ -29,7 +36,7 @@
   ours.Replace("own");
   CHECK_FALSE(ours.ReadIfReplaced());
   CHECK(theirs.ReadIfReplaced() == "own");
-  CHECK(folder.FileCount() == 1);
+  CHECK(FileCount() == 1);
 }
 
 TEST_CASE_METHOD(SharedFile, "what is not a file of the expected kind is reported once") {
@@ -40,19 +47,19 @@
 }
 
 TEST_CASE_METHOD(SharedFile, "a link is not followed") {
-  std::ofstream(folder.FileNamed("other")) << "x";
-  std::filesystem::create_symlink(folder.FileNamed("other"), path);
+  std::ofstream(folder.Path() + "/other") << "x";
+  std::filesystem::create_symlink(folder.Path() + "/other", path);
   CHECK_THROWS_AS(ours.ReadIfReplaced(), std::system_error);
 }
 
 TEST_CASE_METHOD(SharedFile, "a failed replacement leaves the old content and no other file") {
   theirs.Replace("one");
-  std::filesystem::rename(path, folder.FileNamed("kept"));
+  std::filesystem::rename(path, folder.Path() + "/kept");
   std::filesystem::create_directory(path);
   std::ofstream(path + "/entry") << "x";
   CHECK_THROWS_AS(ours.Replace("two"), std::system_error);
   CHECK(std::filesystem::is_directory(path));
-  CHECK(folder.FileCount() == 2);
+  CHECK(FileCount() == 2);
 }
 
 }  // namespace
--- a/tests/base/temporary_folder.h
+++ b/tests/base/temporary_folder.h
@@ -1,4 +1,4 @@
-// A folder of a test.
+// A temporary folder for a test, removed with its contents on destruction.
 #ifndef STOATRUN_TESTS_BASE_TEMPORARY_FOLDER_H_
 #define STOATRUN_TESTS_BASE_TEMPORARY_FOLDER_H_
 
@@ -8,24 +8,19 @@
 
 namespace stoatrun {
 
-// Exists as long as the object.
 class TemporaryFolder {
  public:
   TemporaryFolder() {
-    std::string pattern = (std::filesystem::temp_directory_path() / "stoatrun-test-XXXXXX").string();
-    path_ = mkdtemp(pattern.data());
+    std::string name = std::filesystem::temp_directory_path() / "stoatrun-XXXXXX";
+    path_ = mkdtemp(name.data());
   }
   ~TemporaryFolder() { std::filesystem::remove_all(path_); }
   TemporaryFolder(const TemporaryFolder&) = delete;
   TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-
-  std::string FileNamed(const std::string& name) const { return (path_ / name).string(); }
-  std::ptrdiff_t FileCount() const {
-    return std::distance(std::filesystem::directory_iterator(path_), std::filesystem::directory_iterator{});
-  }
+  const std::string& Path() const { return path_; }
 
  private:
-  std::filesystem::path path_;
+  std::string path_;
 };
 
 }  // namespace stoatrun
--- a/tests/ledger/golden_test.cpp
+++ b/tests/ledger/golden_test.cpp
@@ -10,9 +10,9 @@
 #include <iterator>
 #include <string>
 
+#include "base/temporary_folder.h"
 #include "ledger/io/export_file.h"
 #include "ledger/io/store.h"
-#include "ledger/temporary_folder.h"
 
 namespace stoatrun::ledger {
 namespace {
--- a/tests/ledger/recorder_fixture.h
+++ b/tests/ledger/recorder_fixture.h
@@ -8,9 +8,9 @@
 #include <optional>
 #include <string>
 
+#include "base/temporary_folder.h"
 #include "ledger/io/export_client.h"
 #include "ledger/io/usage_recorder.h"
-#include "ledger/temporary_folder.h"
 #include "standin/in_memory_disk.h"
 #include "standin/receiver.h"
 
--- a/tests/ledger/store_test.cpp
+++ b/tests/ledger/store_test.cpp
@@ -11,8 +11,8 @@
 #include <iterator>
 #include <optional>
 
+#include "base/temporary_folder.h"
 #include "ledger/io/checked_vfs.h"
-#include "ledger/temporary_folder.h"
 #include "standin/in_memory_disk.h"
 
 namespace stoatrun::ledger {
--- a/tests/proxy/listener_test.cpp
+++ b/tests/proxy/listener_test.cpp
@@ -43,7 +43,7 @@
 
 class InheritedListenerFixture : protected PlatformSocket, public LoopbackFixture {
  public:
-  InheritedListenerFixture() : LoopbackFixture({"s-1"}, {.accept_fd = dup(listener.Get())}) {}
+  InheritedListenerFixture() : LoopbackFixture({"s-1"}, {.accept_fd = listener.Get()}) {}
 };
 
 TEST_CASE_METHOD(InheritedListenerFixture,
--- a/tests/proxy/loopback_fixture.cpp
+++ b/tests/proxy/loopback_fixture.cpp
@@ -38,7 +38,7 @@
   ProcessHandover handover{SentRequestIds(SentRequestIds::SlotsIn(sent_ids.Data())), {}};
   if (!options_.endpoint_list_path.empty()) handover.endpoint_list = {options_.endpoint_list_path, Origin()};
   Config config = ConfigWith(discovery);
-  if (options_.shared_listener >= 0) config.accept_fd = dup(options_.shared_listener);
+  if (options_.accept_fd >= 0) config.accept_fd = dup(options_.accept_fd);
 
   auto process = std::make_unique<Process>();
   process->loop.clock.Advance(elapsed_);
@@ -72,7 +72,6 @@
       std::to_string(options_.seed) + R"(","known":{"revision":1,"complete":true,"members":[)" + members +
       R"(]},"settings":{"balancers":)" + std::to_string(options_.fleet_size) + R"(,"discovery":")" +
       options_.discovery_mode + '"' + std::string(kSettings) + "}");
-  if (options_.accept_fd >= 0) config.accept_fd = options_.accept_fd;
   return config;
 }
 
--- a/tests/proxy/loopback_fixture.h
+++ b/tests/proxy/loopback_fixture.h
@@ -59,15 +59,14 @@
 
 // Configuration of the proxy under test.
 struct LoopbackOptions {
-  int descriptor_limit = 0;                  // The configured limit; 0: not configured.
-  int fleet_size = 1;                        // Proxies in the fleet, including this one.
-  int accept_fd = -1;                        // A listening socket that the proxy inherits; -1: it binds one.
+  int descriptor_limit = 0;  // The configured limit; 0: not configured.
+  int fleet_size = 1;        // Proxies in the fleet, including this one.
+  // A listening socket that each process inherits a duplicate of, and that must stay open; -1: it binds one.
+  int accept_fd = -1;
   std::string discovery_mode = "subscribe";  // The value of the setting `discovery`.
   int seed = 7;                              // Seeds the proxy's random numbers.
   FleetClient* fleet = nullptr;              // The rest of the fleet; may be null.
   SharedMemory* sent_ids = nullptr;          // Shared with another proxy; null: its own.
-  // A listening socket that each process inherits; -1: none. Must stay open.
-  int shared_listener = -1;
   // The file by which the processes share their endpoint lists; empty: they do not.
   std::string endpoint_list_path{};
 };
@@ -88,16 +87,10 @@
   const Proxy& ProxyUnderTest() const { return *Newest().proxy; }
   // The number of processes that run.
   std::size_t ProcessCount() const { return processes_.size(); }
-  // The time of the clock that all processes share.
-  Micros Now() const { return Newest().loop.Now(); }
   // The number of attempts that have been made at an endpoint.
   std::size_t AttemptCount(const std::string& endpoint) const {
     return endpoints_.at(endpoint).connections.size();
   }
-  // The address of a discovery service, as in the configuration.
-  std::string DiscoveryAddress(const std::string& discovery = "discovery") const {
-    return "127.0.0.1:" + std::to_string(discoveries_.at(discovery).port);
-  }
   // Whose endpoint lists the processes use.
   static SnapshotOrigin Origin() { return {"n0", "boot"}; }
   // The number of requests that a discovery service has received.
--- a/tests/proxy/process_replacement_test.cpp
+++ b/tests/proxy/process_replacement_test.cpp
@@ -1,18 +1,15 @@
 // Replacing the relay's process: what the old process was told by discovery counts for the new one, however
 // discovery treats the new one's calls.
-#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <optional>
-#include <random>
 #include <string>
-#include <vector>
 
-#include "base/replaceable_file.h"
 #include "base/temporary_folder.h"
 #include "endpoint/discovery_script.h"
-#include "endpoint/endpoint_snapshot.h"
 #include "proxy/loopback_fixture.h"
 
 namespace stoatrun {
@@ -48,9 +45,9 @@
  public:
   explicit ReplacementTrial(const std::string& mode = "subscribe", int fleet_size = 1, int seed = 7)
       : fixture({"s-1", "s-2"}, {.fleet_size = fleet_size,
+                                 .accept_fd = listener_.listener.Get(),
                                  .discovery_mode = mode,
                                  .seed = seed,
-                                 .shared_listener = listener_.listener.Get(),
                                  .endpoint_list_path = list_path}) {
     TimeToCall(fixture, "discovery", 0, 6000);
     fixture.Play(R"(discovery send {"revision":1,"members":[]})");
@@ -106,7 +103,7 @@
   bool IsReady() const { return fixture.ProxyUnderTest().Ready(); }
 
   TemporaryFolder folder;
-  std::string list_path = folder.FileNamed("endpoints");
+  std::string list_path = folder.Path() + "/endpoints";
 
  private:
   struct Listener : LoopbackServer {
