--- a/src/base/replaceable_file.cpp
+++ b/src/base/replaceable_file.cpp
@@ -6,21 +6,17 @@
 
 #include <cerrno>
 #include <cstdio>
-#include <system_error>
 
+#include "base/system_error.h"
 #include "base/unique_fd.h"
 
 namespace stoatrun {
 namespace {
 
-[[noreturn]] void Throw(int error, const std::string& path) {
-  throw std::system_error(error, std::generic_category(), path);
-}
-
 UniqueFd CreateOwned(const std::string& path) {
   constexpr mode_t kOwnerOnly = 0600;
   UniqueFd file(open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC | O_NOFOLLOW, kOwnerOnly));
-  if (!file) Throw(errno, path);
+  if (!file) ThrowSystemError(errno, path);
   return file;
 }
 
@@ -28,7 +24,7 @@
   while (!content.empty()) {
     const ssize_t written = write(fd, content.data(), content.size());
     if (written < 0 && errno == EINTR) continue;
-    if (written < 0) Throw(errno, path);
+    if (written < 0) ThrowSystemError(errno, path);
     content.remove_prefix(static_cast<std::size_t>(written));
   }
 }
@@ -48,7 +44,7 @@
 
   int Get() const { return file_.Get(); }
   void RenameTo(const std::string& target) {
-    if (rename(path_.c_str(), target.c_str()) != 0) Throw(errno, target);
+    if (rename(path_.c_str(), target.c_str()) != 0) ThrowSystemError(errno, target);
     renamed_ = true;
   }
 
@@ -74,20 +70,20 @@
   struct stat status {};
   if (lstat(path_.c_str(), &status) != 0) {
     if (errno == ENOENT) return std::nullopt;
-    Throw(errno, path_);
+    ThrowSystemError(errno, path_);
   }
   if (IsLastVersion(VersionOf(status))) return std::nullopt;
   last_version_ = VersionOf(status);
   UniqueFd file(open(path_.c_str(), O_RDONLY | O_CLOEXEC | O_NOFOLLOW | O_NONBLOCK));
   if (!file) {
     last_version_.reset();  // For want of descriptors, perhaps: worth another try.
-    Throw(errno, path_);
+    ThrowSystemError(errno, path_);
   }
-  if (fstat(file.Get(), &status) != 0) Throw(errno, path_);
+  if (fstat(file.Get(), &status) != 0) ThrowSystemError(errno, path_);
   last_version_ = VersionOf(status);
-  if (!S_ISREG(status.st_mode) || status.st_uid != geteuid()) Throw(EINVAL, path_);
+  if (!S_ISREG(status.st_mode) || status.st_uid != geteuid()) ThrowSystemError(EINVAL, path_);
   const auto size = static_cast<std::size_t>(status.st_size);
-  if (size > max_size_) Throw(EFBIG, path_);
+  if (size > max_size_) ThrowSystemError(EFBIG, path_);
   return ReadContent(file.Get(), size);
 }
 
@@ -97,7 +93,7 @@
   while (filled < size) {
     const ssize_t count = read(fd, content.data() + filled, size - filled);
     if (count < 0 && errno == EINTR) continue;
-    if (count < 0) Throw(errno, path_);
+    if (count < 0) ThrowSystemError(errno, path_);
     if (count == 0) break;
     filled += static_cast<std::size_t>(count);
   }
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -10,9 +10,9 @@
 #include <cerrno>
 #include <string>
 #include <string_view>
-#include <system_error>
 #include <utility>
 
+#include "base/system_error.h"
 #include "config/config.h"
 #include "proxy/line_protocol.h"
 
@@ -26,10 +26,6 @@
 
 UniqueFd OpenSpareFd() { return UniqueFd(open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 
-[[noreturn]] void ThrowSystemError(const char* operation) {
-  throw std::system_error(errno, std::generic_category(), operation);
-}
-
 [[noreturn]] void ThrowInvalidDescriptor(int fd, std::string_view reason) {
   throw ConfigError("PROXY_ACCEPT_FD: descriptor " + std::to_string(fd) + " " + std::string(reason));
 }
@@ -57,12 +53,12 @@
 
 void Listener::Listen(const Address& address) {
   UniqueFd socket_fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!socket_fd) ThrowSystemError("socket");
+  if (!socket_fd) ThrowSystemError(errno, "socket");
   const int enabled = 1;  // A restarted proxy gets its address again although old connections linger there.
   setsockopt(socket_fd.Get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
   const auto* raw = reinterpret_cast<const sockaddr*>(&address.raw);
-  if (bind(socket_fd.Get(), raw, sizeof address.raw) != 0) ThrowSystemError("bind");
-  if (listen(socket_fd.Get(), SOMAXCONN) != 0) ThrowSystemError("listen");
+  if (bind(socket_fd.Get(), raw, sizeof address.raw) != 0) ThrowSystemError(errno, "bind");
+  if (listen(socket_fd.Get(), SOMAXCONN) != 0) ThrowSystemError(errno, "listen");
   socket_ = std::move(socket_fd);
   StartAccepting();
 }
