Give the complete endpoint list a class of its own; fewer states in the discovery client

The time after which a watch counts as silent stood twice and is one constant. In the discovery client, whether the present service has answered follows from the address of the current list, and the assignments on each event go.

Behaviour is unchanged but for one corner: a process that has taken over a list of its own service no longer takes one of another service after it. Before, only a process whose own call had been answered refused that.

--- a/src/endpoint/discovery_client.cpp
+++ b/src/endpoint/discovery_client.cpp
@@ -55,6 +55,7 @@
       host_(std::move(host)),
       answer_timeout_(pacing.source == ListSource::kLocalAgent ? kAgentAnswerTimeout : kAnswerTimeout),
       revision_(known_revision),
+      list_host_(host_),
       list_revision_(known_revision),
       service_since_(loop.Now()),
       next_call_(loop.timers, [this] { StartCall(); }),
@@ -79,7 +80,6 @@
   if (!same_host) {
     // Revisions of different services are unrelated: only a complete list is certain to omit nothing.
     revision_ = other_process_revision_ = 0;
-    has_event_of_host_ = false;
     service_since_ = loop_.Now();
   }
   // Backoff from failures at the old address must not delay calls to the new one.
@@ -101,12 +101,13 @@
 
 bool DiscoveryClient::OnOtherProcess(const EndpointSnapshot& other) {
   const bool from_own_service = other.discovery == host_;
-  // This process is ahead: its service has answered, and the other process uses another one.
-  if (!from_own_service && has_event_of_host_) return false;
-  const bool is_new = !deadline_.HasEvidence() || IsNewerThanList(other);
+  const bool had_evidence = deadline_.HasEvidence();
+  // This process is ahead: it has a list of its service, and the other process uses another one.
+  if (!from_own_service && had_evidence && list_host_ == host_) return false;
+  const bool is_new = !had_evidence || IsNewerThanList(other);
   if (from_own_service) {
     deadline_.OnOtherProcess(other.freshness);
-  } else if (!deadline_.HasEvidence()) {
+  } else if (!had_evidence) {
     // As after a reload: the list of the old service stays in effect until the new one answers.
     deadline_.OnOtherProcess(other.freshness);
     deadline_.OnReload(loop_.Now());
@@ -195,9 +196,7 @@
   if (call.Host() != host_) return;
   deadline_.OnEvent(loop_.PreviousTurn());  // The event may have been sent that early.
   overdue_logged_ = false;
-  has_event_ = has_event_of_host_ = true;
-  list_host_ = host_;
-  list_revision_ = revision_;
+  has_event_ = true;
   if (call.Id() == watch_) return;
   watch_ = call.Id();
   next_call_.Cancel();
--- a/src/endpoint/discovery_client.h
+++ b/src/endpoint/discovery_client.h
@@ -102,10 +102,9 @@
   const Micros answer_timeout_;
   std::uint64_t revision_;  // Of the current list; 0 if it came from another address.
   // The current list.
-  std::string list_host_;            // The address that sent it.
-  std::uint64_t list_revision_ = 0;  // As that address counts.
-  bool has_event_ = false;           // Some call has had one.
-  bool has_event_of_host_ = false;   // A call to the present address has had one.
+  std::string list_host_;        // The address that sent it.
+  std::uint64_t list_revision_;  // As that address counts.
+  bool has_event_ = false;       // Some call has had one.
   // The revision of a list that another process received from the present address; 0: none.
   std::uint64_t other_process_revision_ = 0;
   Micros service_since_;  // The present address is used since then.
--- a/src/endpoint/endpoint_list_sharing.cpp
+++ b/src/endpoint/endpoint_list_sharing.cpp
@@ -1,13 +1,9 @@
 #include "endpoint/endpoint_list_sharing.h"
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <exception>
-#include <set>
-#include <string_view>
 #include <utility>
-#include <vector>
 
 #include "base/durations.h"
 #include "base/log.h"
@@ -43,8 +39,6 @@
       origin_(file ? file->origin : SnapshotOrigin{}),
       next_step_(loop.timers, [this] { Step(); }) {}
 
-EndpointListSharing::~EndpointListSharing() = default;
-
 std::optional<EndpointSnapshot> EndpointListSharing::Load() {
   auto snapshot = ReadIfReplaced();
   if (!snapshot) return std::nullopt;
@@ -70,34 +64,11 @@
 void EndpointListSharing::OnUpdateApplied(const EndpointUpdate& update) {
   if (!file_) return;
   ++updates_;
-  if (update.complete) EraseMissing(update);
-  for (const Endpoint& endpoint : update.entries) {
-    if (endpoint.state == EndpointState::kGone) {
-      endpoints_.erase(endpoint.id);
-    } else if (endpoints_.size() < kMaxEndpoints || endpoints_.contains(endpoint.id)) {
-      Store(endpoint);
-    }
-  }
+  list_.Apply(update);
   // The first change after a pause is published at once, further ones together at the next step.
   if (discovery_ != nullptr && loop_.Now() >= written_at_ + kStepInterval) Publish();
 }
 
-void EndpointListSharing::EraseMissing(const EndpointUpdate& complete) {
-  std::set<std::string_view> listed;
-  for (const Endpoint& endpoint : complete.entries) listed.insert(endpoint.id);
-  std::erase_if(endpoints_, [&](const auto& entry) { return !listed.contains(entry.first); });
-}
-
-// An entry without a valid address keeps the one that it had, as in the proxy's table.
-void EndpointListSharing::Store(const Endpoint& endpoint) {
-  const auto [listed, added] = endpoints_.try_emplace(endpoint.id);
-  if (added) listed->second.position = next_position_++;
-  Endpoint& entry = listed->second.endpoint;
-  std::string former_address = std::move(entry.address);
-  entry = endpoint;
-  if (!Address::Parse(entry.address)) entry.address = std::move(former_address);
-}
-
 void EndpointListSharing::Step() {
   Follow();
   Publish();
@@ -146,18 +117,6 @@
   return status != published_status_ || updates_ != published_updates_ || silence >= kPublicationInterval;
 }
 
-// The order is kept because the balancer's choice among equal endpoints depends on it.
-std::vector<Endpoint> EndpointListSharing::OrderedEndpoints() const {
-  std::vector<const ListedEndpoint*> ordered;
-  ordered.reserve(endpoints_.size());
-  for (const auto& [id, listed] : endpoints_) ordered.push_back(&listed);
-  std::ranges::sort(ordered, {}, &ListedEndpoint::position);
-  std::vector<Endpoint> endpoints;
-  endpoints.reserve(ordered.size());
-  for (const ListedEndpoint* listed : ordered) endpoints.push_back(listed->endpoint);
-  return endpoints;
-}
-
 EndpointSnapshot EndpointListSharing::MakeSnapshot(const DiscoveryClient::ListStatus& status) const {
   EndpointSnapshot snapshot;
   snapshot.written_at = loop_.Now();
@@ -165,7 +124,7 @@
   snapshot.service_since = status.service_since;
   snapshot.list.revision = status.revision;
   snapshot.list.complete = true;
-  snapshot.list.entries = OrderedEndpoints();
+  snapshot.list.entries = list_.Entries();
   snapshot.freshness = status.freshness;
   return snapshot;
 }
--- a/src/endpoint/endpoint_list_sharing.h
+++ b/src/endpoint/endpoint_list_sharing.h
@@ -8,15 +8,14 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "base/event_loop.h"
 #include "base/replaceable_file.h"
 #include "base/timer_queue.h"
 #include "endpoint/discovery_client.h"
+#include "endpoint/endpoint_list.h"
 #include "endpoint/endpoint_snapshot.h"
 #include "endpoint/endpoint_update.h"
 
@@ -33,7 +32,6 @@
  public:
   // `file`: nullopt: the list is not shared, and no method has an effect. `loop` must outlive the object.
   EndpointListSharing(EventLoop& loop, const std::optional<EndpointListFile>& file);
-  ~EndpointListSharing();
 
   // The list that another process has published lately; nullopt if there is none.
   std::optional<EndpointSnapshot> Load();
@@ -49,15 +47,12 @@
   bool IsOnlySource() const;
 
  private:
-  void EraseMissing(const EndpointUpdate& complete);
-  void Store(const Endpoint& endpoint);
   void Step();
   void Follow();
   // Whether `other` lacks changes that this process has been told.
   bool IsBehind(const EndpointSnapshot& other) const;
   std::optional<EndpointSnapshot> ReadIfReplaced();
   bool IsPublicationDue(const DiscoveryClient::ListStatus& status) const;
-  std::vector<Endpoint> OrderedEndpoints() const;
   EndpointSnapshot MakeSnapshot(const DiscoveryClient::ListStatus& status) const;
   void LogFailure(const char* event, const std::string& reason);
 
@@ -68,12 +63,7 @@
   std::function<void(const EndpointUpdate&)> apply_;
   Timer next_step_;
 
-  struct ListedEndpoint {
-    Endpoint endpoint;
-    std::uint64_t position = 0;  // In the order in which endpoints were first listed.
-  };
-  std::map<std::string, ListedEndpoint> endpoints_;  // The current list, by id.
-  std::uint64_t next_position_ = 0;
+  EndpointList list_;          // The current one.
   std::uint64_t updates_ = 0;  // Applied to the list.
 
   // The latest publication of this process.
--- a/src/endpoint/update_deadline.h
+++ b/src/endpoint/update_deadline.h
@@ -133,8 +133,6 @@
   static constexpr Micros kKnownAfterReady = std::chrono::seconds(2);
   // An agent answers at once. Within the grace time of a drain, less the time that a process may be held up.
   static constexpr Micros kMaxTimeToFirstAgentAnswer = std::chrono::milliseconds(150);
-  // An open watch has an event in this time.
-  static constexpr Micros kEventTimeout = std::chrono::milliseconds(2500);
   // Bounds of IsOverdue: where changes that were missed count as known for certain, and where all calls may
   // have failed because the service is down.
   static constexpr Micros kMaxOverdue = std::chrono::seconds(30);
--- a/src/endpoint/watch_call.cpp
+++ b/src/endpoint/watch_call.cpp
@@ -8,16 +8,13 @@
 #include "base/log.h"
 #include "config/config.h"
 #include "config/json.h"
+#include "endpoint/list_freshness.h"
 
 namespace stoatrun {
 namespace {
 
 // An unanswered call is given up after this time.
 constexpr Micros kMaxAnswerTime = std::chrono::seconds(10);
-// The service sends a heartbeat every 2 s; on a busy machine it may be late by a quarter of that. Only
-// complete events extend the timeout: a watch that delivers bytes but never a complete event is as dead as a
-// silent one.
-constexpr Micros kEventTimeout = std::chrono::milliseconds(2500);
 // An endpoint takes about 150 bytes of JSON, or twice that if indented, so this is enough for a few thousand
 // endpoints. It is one sixteenth of the minimum memory of a proxy.
 constexpr std::size_t kMaxObjectSize = 2 << 20;
@@ -114,7 +111,8 @@
   if (rejected_) return;
   phase_ = Phase::kAnswered;
   LogLine(Level::kInfo, "watch answered").Field("after_ms", ToMilliseconds(loop_.Now() - started_at_));
-  // The service has started to handle this call: events are due from now on.
+  // The service has started to handle this call: events are due from now on. Only complete ones extend the
+  // timeout: a watch that delivers bytes but never a complete event is as dead as a silent one.
   timeout_.Set(loop_.Now() + kEventTimeout);
 }
 
